--- /dev/null
+++ b/src/main/java/ambertrestle/Main.java
@@ -0,0 +1,29 @@
+package ambertrestle;
+
+import ambertrestle.simhost.SimHost;
+import ambertrestle.simhost.WireException;
+import java.io.FileDescriptor;
+import java.io.FileInputStream;
+import java.io.FileOutputStream;
+import java.io.IOException;
+
+/** Starts the one part that is named on the command line. */
+public final class Main {
+    private Main() {}
+
+    public static void main(String[] args) {
+        if (args.length != 1 || !args[0].equals("simhost")) {
+            System.err.println("usage: java -jar ambertrestle.jar simhost");
+            System.exit(2);
+        }
+        try {
+            new SimHost(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out)).run();
+        } catch (WireException e) {
+            System.err.println("ambertrestle: " + e.getMessage());
+            System.exit(1);
+        } catch (IOException e) {
+            System.err.println("ambertrestle: reading or writing failed: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ambertrestle/decide/Chores.java
@@ -0,0 +1,25 @@
+package ambertrestle.decide;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** When the module wants to be asked again, and what is due now. */
+public final class Chores {
+    public enum RosterCall { NONE, WATCH, FETCH }
+
+    public long wakeAt = Long.MAX_VALUE;
+    public RosterCall rosterCall = RosterCall.NONE;
+    public final List<Long> probes = new ArrayList<>();
+    public final List<Association> moves = new ArrayList<>();
+    public final List<String> log = new ArrayList<>();
+    /** A message to all peers, or null. */
+    public byte[] message;
+
+    public void clear() {
+        rosterCall = RosterCall.NONE;
+        probes.clear();
+        moves.clear();
+        log.clear();
+        message = null;
+    }
+}
