--- a/src/main/java/ambertrestle/decide/Association.java
+++ b/src/main/java/ambertrestle/decide/Association.java
@@ -3,7 +3,7 @@
 /** One association as the client brought it, with the dispatches made for it. Times in nanoseconds. */
 public final class Association {
     /** What is known of a dispatch: still out, known not to have run, or it may have run. */
-    public enum Fate { OUT, NEVER_RAN, MAY_HAVE_RAN }
+    public enum Fate { OUT, NEVER_RAN, MAY_HAVE_RUN }
 
     public final long id;
     public final int useCase;
--- /dev/null
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -0,0 +1,634 @@
+package ambertrestle.decide;
+
+import ambertrestle.decide.Answer.Kind;
+import ambertrestle.decide.Association.Fate;
+import ambertrestle.decide.Listed.Stage;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * Every decision of one relay. Ask {@link #where} for an association that arrived or has waited, {@link #after}
+ * when a dispatch ended, and {@link #howLong} after each batch; tell it the rest. The plain values it takes and
+ * gives stand beside it in this package. One instance a relay, one thread, the batch's clock in nanoseconds.
+ *
+ * <p>The ordinary path is docs/design.md's: own tracking table, else the Maglev table in the key's order.
+ * Mechanisms beside it:
+ * 1. size: a backend takes turns in the Maglev table in proportion to its listed weight;
+ * 2. warm-up: a fresh backend counts by its age, with a hard budget in the gate;
+ * 3. doubt: a backend with failures gets work by a draw from the posterior of its chance of success;
+ * 4. time-outs that leave room for a further dispatch, on to the next in the key's order.
+ */
+public final class Balancer {
+    private static final long MS = 1_000_000L;
+    private static final long SECOND = 1_000 * MS;
+    /** Prime; some hundred turns for each of a few dozen backends. */
+    private static final int TABLE = 4093;
+    private static final int MOST_ENTRIES = 1 << 16;
+    private static final long ENTRY_AGE = 60 * SECOND;
+    /** Evidence about a backend halves in this time. */
+    private static final long HALF_LIFE = 4 * SECOND;
+
+    /** All that is known of one backend. */
+    private static final class Backend {
+        final long id;
+        final long hash;
+        Stage stage = Stage.GONE;
+        long startedAt;
+        int cell;
+        int zone;
+        double weight = 1;
+        /** When this relay heard that it drains or is gone. */
+        long heardAt;
+        final ArrayList<Association> open = new ArrayList<>();
+        int pending;
+        double good;
+        double bad;
+        long evidenceAt;
+        long fullUntil;
+        /** Dispatches that the cold budget still allows, and when that was reckoned. */
+        double allowance;
+        long allowanceAt;
+        double delay;
+        long delayAt = Long.MIN_VALUE / 2;
+        int mark;
+
+        Backend(long id) {
+            this.id = id;
+            this.hash = mix(id ^ 0x9e3779b97f4a7c15L);
+        }
+
+        int held() {
+            return open.size() + pending;
+        }
+
+        void age(long now) {
+            if (now > evidenceAt) {
+                double keep = Math.pow(0.5, (double) (now - evidenceAt) / HALF_LIFE);
+                good *= keep;
+                bad *= keep;
+                evidenceAt = now;
+            }
+        }
+    }
+
+    /** Where a key's established connections are. */
+    private static final class Entry {
+        long backend;
+        int open;
+        long endedAt;
+    }
+
+    private final Map<String, String> jobTicket;
+    private final SplittableRandom chance;
+    private final HashMap<Long, Backend> backends = new HashMap<>();
+    /** Listed ready or draining, by id: the members of the Maglev table. */
+    private Backend[] members = new Backend[0];
+    private Backend[] table = new Backend[0];
+    private final LinkedHashMap<Long, Entry> tracking = new LinkedHashMap<>(256, 0.75f, true);
+    private long purgeAt;
+    private int mark;
+    private final Chores chores = new Chores();
+
+    private final int useCases;
+    private final long[] goal;
+    private final long[] patience;
+    private final String[] effect;
+    private final String[] scope;
+    private final long[] window;
+    private final int mostDispatches;
+    private final boolean secondCopies;
+    private final long drainGrace;
+    private final double coldFrom;
+    private final long coldFor;
+    private final double fallMultiple;
+    private final long fallFor;
+    private final int relays;
+    private final boolean weighted;
+    private final boolean onRequest;
+
+    private boolean watchDue;
+    private long watchAt = Long.MAX_VALUE;
+    private int watchFailures;
+    /** Own dispatches to warm backends, decaying over some seconds, and the weight they went to. */
+    private double sends;
+    private long sendsAt;
+    private final long bornAt;
+    private double setUp;
+
+    public Balancer(Map<String, String> jobTicket, long seed, long now) {
+        this.jobTicket = jobTicket;
+        chance = new SplittableRandom(seed);
+        useCases = (int) number("useCases.count");
+        goal = new long[useCases];
+        patience = new long[useCases];
+        effect = new String[useCases];
+        scope = new String[useCases];
+        window = new long[useCases];
+        for (int u = 0; u < useCases; u++) {
+            String of = "useCases." + u + ".";
+            goal[u] = (long) number(of + "goalTime");
+            patience[u] = (long) number(of + "cutOff");
+            effect[u] = word(of + "effect", "retriable", "fingerprinted", "binding");
+            if (effect[u].equals("fingerprinted")) {
+                scope[u] = word(of + "scope", "all", "zone", "cell");
+                window[u] = (long) number(of + "window");
+            }
+        }
+        mostDispatches = (int) number("limits.dispatches");
+        secondCopies = Boolean.parseBoolean(jobTicket.get("limits.secondCopies"));
+        drainGrace = (long) number("rules.drainGrace");
+        coldFrom = number("rules.coldFrom");
+        coldFor = (long) number("rules.cold");
+        fallMultiple = number("rules.fallMultiple");
+        fallFor = (long) number("rules.fall");
+        relays = Math.max(1, (int) number("relays"));
+        String weights = word("weights", "nominal", "rough", "none", "live");
+        weighted = weights.equals("nominal") || weights.equals("rough");
+        onRequest = word("discovery", "pushed", "on_request").equals("on_request");
+        watchDue = onRequest;
+        bornAt = now;
+        sendsAt = now;
+        purgeAt = now + ENTRY_AGE;
+    }
+
+    private double number(String name) {
+        String value = jobTicket.get(name);
+        try {
+            return Double.parseDouble(value == null ? "" : value);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("job ticket: " + name + (value == null ? " is missing"
+                    : " is not a number: " + value));
+        }
+    }
+
+    private String word(String name, String... known) {
+        String value = jobTicket.get(name);
+        if (value == null || !Arrays.asList(known).contains(value)) {
+            throw new IllegalArgumentException("job ticket: " + name + (value == null ? " is missing"
+                    : " is not known: " + value));
+        }
+        return value;
+    }
+
+    // ---- the three questions
+
+    /** Where to send this association, which has arrived or has waited as told. */
+    public Answer where(Association a, long now) {
+        if (a.closed) {
+            return Answer.NOTHING;
+        }
+        if (a.useCase >= useCases) {
+            throw new IllegalArgumentException("association of use case " + a.useCase + ", known are " + useCases);
+        }
+        Backend b = now < a.cutOff ? choose(a, now) : null;
+        if (b != null) {
+            return send(a, b, now);
+        }
+        return waitOrGiveUp(a, now);
+    }
+
+    /** What to do after this outcome of a dispatch. `finished`: the association is over with it or before it. */
+    public Answer after(Association a, int dispatch, Outcome outcome, boolean finished, long took, float[] report,
+            long now) {
+        if (dispatch < 0 || dispatch >= a.dispatches || a.fate[dispatch] != Fate.OUT) {
+            return Answer.NOTHING;
+        }
+        Backend b = backends.get(a.sentTo[dispatch]);
+        boolean wasEstablished = a.established;
+        a.fate[dispatch] = outcome.neverRan ? Fate.NEVER_RAN : Fate.MAY_HAVE_RUN;
+        unhold(a, b, now);
+        judge(b, outcome, wasEstablished, now);
+        if (finished || a.closed) {
+            a.closed = true;
+            return Answer.NOTHING;
+        }
+        return where(a, now);
+    }
+
+    /** How long to wait before asking again, and the chores that are due now. */
+    public Chores howLong(long now) {
+        chores.clear();
+        if (watchDue || now >= watchAt) {
+            watchDue = false;
+            watchAt = Long.MAX_VALUE;
+            chores.rosterCall = Chores.RosterCall.WATCH;
+        }
+        if (now >= purgeAt) {
+            purge(now);
+            purgeAt = now + ENTRY_AGE / 4;
+        }
+        chores.wakeAt = Math.min(purgeAt, watchAt);
+        return chores;
+    }
+
+    // ---- what it is told
+
+    /** The roster, whole or changes only; `cached`: as this relay last had it, perhaps stale. */
+    public void roster(List<Listed> lines, boolean whole, boolean cached, long now) {
+        watchFailures = 0;
+        mark++;
+        boolean changed = false;
+        for (Listed line : lines) {
+            Backend b = backends.computeIfAbsent(line.backend(), Backend::new);
+            b.mark = mark;
+            changed |= list(b, line, now);
+        }
+        if (whole) {
+            for (Backend b : members) {
+                if (b.mark != mark) {
+                    changed |= list(b, new Listed(b.id, Stage.GONE, 0, b.cell, b.weight, b.zone, 0), now);
+                }
+            }
+        }
+        if (changed) {
+            fillTable();
+        }
+    }
+
+    public void rosterFailed(long now) {
+        // Danger: relays that ask again in step keep the roster service full and all of them fail again.
+        long base = 200 * MS << Math.min(watchFailures++, 4);
+        watchAt = now + base / 2 + chance.nextLong(base);
+    }
+
+    /** An open connection that was passing through when this relay started. */
+    public void takenOver(Association a, long backend, long now) {
+        a.sent(backend, now);
+        backends.computeIfAbsent(backend, Backend::new).pending++;
+        hold(a, backends.get(backend), now);
+    }
+
+    public void established(Association a, int dispatch, long took, long now) {
+        if (dispatch >= a.dispatches || a.established) {
+            return;
+        }
+        Backend b = backends.get(a.sentTo[dispatch]);
+        b.age(now);
+        b.good++;
+        setUp += (took - setUp) / 16;
+        hold(a, b, now);
+    }
+
+    public void loadNote(Association a, double load, long now) {
+        a.load = load;
+    }
+
+    public void delayNote(long backend, long delay, long now) {
+        Backend b = backends.get(backend);
+        if (b != null) {
+            b.delay = delay;
+            b.delayAt = now;
+        }
+    }
+
+    public void probed(long backend, Outcome outcome, long took, float[] report, long now) {
+    }
+
+    /** An outcome of an association that is no longer held. */
+    public void lateOutcome(long backend, Outcome outcome, float[] report, long now) {
+    }
+
+    public void clientLeft(Association a, long now) {
+        a.closed = true;
+        if (a.dispatches > 0 && a.fate[a.dispatches - 1] == Fate.OUT) {
+            unhold(a, backends.get(a.sentTo[a.dispatches - 1]), now);
+        }
+    }
+
+    public void peerMessage(int from, byte[] message, long now) {
+    }
+
+    // ---- the ordinary path
+
+    private Backend choose(Association a, long now) {
+        long key = a.key();
+        if (key != 0) {
+            Entry entry = tracking.get(key);
+            Backend known = entry == null ? null : backends.get(entry.backend);
+            if (known != null && known.stage == Stage.READY && !tried(a, known) && sound(known, now)
+                    && mayReach(known, a, now)) {
+                return known;
+            }
+        }
+        if (members.length == 0) {
+            return null;
+        }
+        int slot = (int) Long.remainderUnsigned(mix(key != 0 ? key : a.id), TABLE);
+        double mean = 0;
+        double weights = 0;
+        for (Backend b : members) {
+            if (b.stage == Stage.READY) {
+                mean += b.held();
+                weights += b.weight;
+            }
+        }
+        mean /= Math.max(weights, 1e-9);
+        for (int pass = 0; pass < 2; pass++) {
+            mark++;
+            int met = 0;
+            for (int i = 0; i < TABLE && met < members.length; i++) {
+                Backend b = table[slot + i < TABLE ? slot + i : slot + i - TABLE];
+                if (b.mark == mark) {
+                    continue;
+                }
+                b.mark = mark;
+                met++;
+                boolean first = met == 1 && a.midFlow && a.dispatches == 0;
+                if (first && mayReach(b, a, now)) {
+                    return b;
+                }
+                if (b.stage != Stage.READY || tried(a, b)) {
+                    continue;
+                }
+                double fair = mean * b.weight;
+                boolean overfull = b.held() > 2 * fair && b.held() >= fair + 2;
+                if (pass == 0 && (overfull || now < b.fullUntil || !admitted(b, key, now) || !sound(b, now))) {
+                    continue;
+                }
+                if (mayReach(b, a, now)) {
+                    return b;
+                }
+            }
+        }
+        return null;
+    }
+
+    private static boolean tried(Association a, Backend b) {
+        for (int d = a.dispatches - 1; d >= 0; d--) {
+            if (a.sentTo[d] == b.id) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** A fresh backend takes a share of its keys that grows with its age, the same keys at every relay. */
+    private boolean admitted(Backend b, long key, long now) {
+        double share = warmth(b, now);
+        return share >= 1 || (mix(key ^ b.hash) >>> 11) * 0x1p-53 < share;
+    }
+
+    private double warmth(Backend b, long now) {
+        if (b.startedAt == 0 || now - b.startedAt >= coldFor) {
+            return 1;
+        }
+        return coldFrom + (1 - coldFrom) * Math.max(0, now - b.startedAt) / coldFor;
+    }
+
+    /** Draws whether a doubtful backend gets work. */
+    private boolean sound(Backend b, long now) {
+        b.age(now);
+        if (b.bad < 0.25) {
+            return true;
+        }
+        int doubtful = 0;
+        for (Backend other : members) {
+            other.age(now);
+            doubtful += other.bad >= 0.25 ? 1 : 0;
+        }
+        // Danger: a shared store that slows fails set-ups everywhere; blaming each backend would leave none.
+        if (doubtful * 3 > members.length && doubtful > 1) {
+            return true;
+        }
+        double yes = 1 + b.good;
+        double no = b.bad;
+        double sum = yes + no;
+        double draw = yes / sum + Math.sqrt(yes * no / (sum * sum * (sum + 1))) * chance.nextGaussian();
+        return draw >= 0.5;
+    }
+
+    private void judge(Backend b, Outcome outcome, boolean wasEstablished, long now) {
+        b.age(now);
+        switch (outcome) {
+            case FULL -> b.fullUntil = now + SECOND / 2;
+            case ERROR, TIMED_OUT, NOT_CONNECTED -> b.bad++;
+            case RESET -> b.bad += wasEstablished ? 0.5 : 1;
+            default -> { }
+        }
+    }
+
+    // ---- the one send, its gate and the giving up
+
+    /** The one place that every send passes: rules 2, 3 and 4 are kept here. */
+    private boolean mayReach(Backend b, Association a, long now) {
+        if (a.closed || a.dispatches >= mostDispatches) {
+            return false;
+        }
+        // Rule 3: nothing new past the grace.
+        if (b.stage != Stage.READY && now - b.heardAt >= drainGrace / 2) {
+            return false;
+        }
+        // Rule 2: no effect twice.
+        for (int d = 0; d < a.dispatches; d++) {
+            if (a.fate[d] == Fate.NEVER_RAN) {
+                continue;
+            }
+            if (a.fate[d] == Fate.OUT && !secondCopies) {
+                return false;
+            }
+            switch (effect[a.useCase]) {
+                case "retriable" -> { }
+                case "binding" -> {
+                    return false;
+                }
+                default -> {
+                    Backend before = backends.get(a.sentTo[d]);
+                    if (now - a.sentAt[d] >= window[a.useCase]
+                            || scope[a.useCase].equals("zone") && before.zone != b.zone
+                            || scope[a.useCase].equals("cell") && before.cell != b.cell) {
+                        return false;
+                    }
+                }
+            }
+        }
+        // Rule 4: no cold backend pushed over.
+        if (warmth(b, now) < 1) {
+            double rate = coldRate(b, now);
+            if (b.allowanceAt < b.startedAt) {
+                b.allowance = 0;
+                b.allowanceAt = Math.max(b.startedAt, now - fallFor);
+            }
+            b.allowance = Math.min(Math.max(1, rate * fallFor),
+                    b.allowance + rate * (now - b.allowanceAt));
+            b.allowanceAt = now;
+            return b.allowance >= 1;
+        }
+        return true;
+    }
+
+    /** This relay's part, in dispatches a nanosecond, of what a backend of that size and age may be sent. */
+    private double coldRate(Backend b, long now) {
+        double weights = 0;
+        for (Backend m : members) {
+            weights += m.stage == Stage.READY ? m.weight : 0;
+        }
+        decaySends(now);
+        double span = Math.min(now - bornAt, 10 * SECOND) + SECOND;
+        return fallMultiple * warmth(b, now) * sends / span * b.weight / Math.max(weights, 1e-9);
+    }
+
+    private void decaySends(long now) {
+        sends *= Math.exp(-(double) (now - sendsAt) / (10 * SECOND));
+        sendsAt = now;
+    }
+
+    private Answer send(Association a, Backend b, long now) {
+        if (warmth(b, now) < 1) {
+            b.allowance--;
+        } else {
+            decaySends(now);
+            sends++;
+        }
+        a.sent(b.id, now);
+        b.pending++;
+        return new Answer(Kind.SEND, b.id, timeOut(a, now));
+    }
+
+    /** Leaves room for a further dispatch before the goal time while there is one, else before the cut-off. */
+    private long timeOut(Association a, long now) {
+        long left = a.cutOff - now;
+        if (a.dispatches >= mostDispatches) {
+            return left;
+        }
+        return Math.min(left, Math.max(goal[a.useCase] / 2, (long) (4 * setUp)));
+    }
+
+    private Answer waitOrGiveUp(Association a, long now) {
+        for (int d = 0; d < a.dispatches; d++) {
+            if (a.fate[d] == Fate.OUT) {
+                return Answer.NOTHING;
+            }
+        }
+        long pause = 50 * MS << Math.min(a.waits++, 5);
+        if (a.dispatches < mostDispatches && now + pause < a.cutOff - patience[a.useCase] + goal[a.useCase]) {
+            return new Answer(Kind.WAIT, 0, now + pause);
+        }
+        return giveUp(a);
+    }
+
+    /** Rule 1: the one place a final answer is given, at once. */
+    private Answer giveUp(Association a) {
+        a.closed = true;
+        boolean may = true;
+        for (int d = 0; d < a.dispatches; d++) {
+            may &= a.fate[d] == Fate.NEVER_RAN || effect[a.useCase].equals("retriable")
+                    || effect[a.useCase].equals("fingerprinted") && scope[a.useCase].equals("all");
+        }
+        return may ? new Answer(Kind.SHED, 0, 0) : Answer.FORFEIT;
+    }
+
+    // ---- books
+
+    private void hold(Association a, Backend b, long now) {
+        a.established = true;
+        b.pending--;
+        a.place = b.open.size();
+        b.open.add(a);
+        if (a.key() != 0) {
+            Entry entry = tracking.computeIfAbsent(a.key(), k -> new Entry());
+            if (entry.backend != b.id) {
+                entry.backend = b.id;
+                entry.open = 0;
+            }
+            entry.open++;
+            if (tracking.size() > MOST_ENTRIES) {
+                Iterator<Map.Entry<Long, Entry>> oldest = tracking.entrySet().iterator();
+                oldest.next();
+                oldest.remove();
+            }
+        }
+    }
+
+    private void unhold(Association a, Backend b, long now) {
+        if (!a.established) {
+            b.pending--;
+            return;
+        }
+        if (a.place < 0) {
+            return;
+        }
+        Association last = b.open.remove(b.open.size() - 1);
+        if (last != a) {
+            b.open.set(a.place, last);
+            last.place = a.place;
+        }
+        a.place = -1;
+        Entry entry = tracking.get(a.key());
+        if (entry != null && entry.backend == b.id && entry.open > 0 && --entry.open == 0) {
+            entry.endedAt = now;
+        }
+    }
+
+    private void purge(long now) {
+        for (Iterator<Entry> it = tracking.values().iterator(); it.hasNext();) {
+            Entry entry = it.next();
+            if (entry.open == 0 && now - entry.endedAt >= ENTRY_AGE) {
+                it.remove();
+            }
+        }
+    }
+
+    private boolean list(Backend b, Listed line, long now) {
+        double weight = weighted && line.weight() > 0 ? line.weight() : 1;
+        boolean changed = b.weight != weight || (b.stage == Stage.GONE) != (line.stage() == Stage.GONE);
+        if (line.stage() != Stage.READY && (b.stage == Stage.READY || b.heardAt == 0)) {
+            b.heardAt = now;
+        }
+        if (line.stage() == Stage.READY && line.startedAt() != b.startedAt) {
+            b.good = 0;
+            b.bad = 0;
+            b.fullUntil = 0;
+        }
+        b.stage = line.stage();
+        b.startedAt = line.stage() == Stage.GONE ? b.startedAt : line.startedAt();
+        b.weight = weight;
+        b.cell = line.cell();
+        b.zone = line.zone();
+        return changed;
+    }
+
+    /** Maglev: the listed backends, sorted by id, take slots in turn, each by its own offset and skip. */
+    private void fillTable() {
+        members = backends.values().stream().filter(b -> b.stage != Stage.GONE).toArray(Backend[]::new);
+        Arrays.sort(members, (x, y) -> Long.compareUnsigned(x.id, y.id));
+        table = new Backend[members.length == 0 ? 0 : TABLE];
+        int n = members.length;
+        int[] next = new int[n];
+        int[] skip = new int[n];
+        double[] turns = new double[n];
+        double heaviest = 0;
+        for (int i = 0; i < n; i++) {
+            next[i] = (int) Long.remainderUnsigned(members[i].hash, TABLE);
+            skip[i] = (int) Long.remainderUnsigned(mix(members[i].hash), TABLE - 1) + 1;
+            heaviest = Math.max(heaviest, members[i].weight);
+        }
+        for (int filled = 0; n > 0;) {
+            for (int i = 0; i < n; i++) {
+                turns[i] += members[i].weight / heaviest;
+                if (turns[i] < 1) {
+                    continue;
+                }
+                turns[i]--;
+                while (table[next[i]] != null) {
+                    next[i] = (next[i] + skip[i]) % TABLE;
+                }
+                table[next[i]] = members[i];
+                if (++filled == TABLE) {
+                    return;
+                }
+            }
+        }
+    }
+
+    private static long mix(long z) {
+        z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
+        return z ^ (z >>> 31);
+    }
+}
--- /dev/null
+++ b/src/main/java/ambertrestle/simhost/SimHost.java
@@ -0,0 +1,213 @@
+package ambertrestle.simhost;
+
+import ambertrestle.decide.Association;
+import ambertrestle.decide.Balancer;
+import ambertrestle.decide.Listed;
+import ambertrestle.decide.Outcome;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+
+/** Hosts instances of the module on the simulator's wire: one batch in, one reply out. It decides nothing. */
+public final class SimHost {
+    private static final Outcome[] OUTCOMES = Outcome.values();
+    private static final Listed.Stage[] STAGES = Listed.Stage.values();
+
+    private final InputStream in;
+    private final OutputStream out;
+    private final TreeMap<Integer, Instance> instances = new TreeMap<>();
+    private final List<Instance> touched = new ArrayList<>();
+    private final Wire.Reply reply = new Wire.Reply();
+    private ByteBuffer frame = sized(1 << 16);
+    private final byte[] head = new byte[4];
+
+    public SimHost(InputStream in, OutputStream out) {
+        this.in = in;
+        this.out = out;
+    }
+
+    private static ByteBuffer sized(int bytes) {
+        return ByteBuffer.allocate(bytes).order(ByteOrder.LITTLE_ENDIAN);
+    }
+
+    public void run() throws IOException {
+        long frames = 0;
+        while (true) {
+            int got = in.readNBytes(head, 0, 4);
+            if (got == 0) {
+                return;
+            }
+            long length = ByteBuffer.wrap(head).order(ByteOrder.LITTLE_ENDIAN).getInt() & 0xffffffffL;
+            if (got < 4 || length < 12 || length > Integer.MAX_VALUE - 16) {
+                throw new WireException(got < 4 ? "frame " + frames + " is cut short in its length field"
+                        : "frame " + frames + " has a length of " + length);
+            }
+            if (frame.capacity() < length) {
+                frame = sized((int) Math.max(length, Math.min(Integer.MAX_VALUE - 16L, frame.capacity() * 2L)));
+            }
+            int read = in.readNBytes(frame.array(), 0, (int) length);
+            if (read < length) {
+                throw new WireException("frame " + frames + " is cut short: " + read + " of " + length + " bytes");
+            }
+            frame.limit((int) length);
+            answer(new Wire.Batch(frame));
+            out.write(reply.frame());
+            out.flush();
+            frame.clear();
+            frames++;
+        }
+    }
+
+    private void answer(Wire.Batch batch) throws EOFException {
+        reply.clear();
+        long now = batch.clockUs * 1000;
+        Instance last = null;
+        for (int i = 0; i < batch.records; i++) {
+            int event = batch.open(i);
+            int number = batch.u16(1);
+            Instance instance = last != null && last.number == number && !last.stopped ? last : instances.get(number);
+            if (event == Wire.UP) {
+                instance = new Instance(number, reply);
+                instances.put(number, instance);
+            } else if (event > Wire.UP) {
+                throw new WireException(batch.place() + ": no such event");
+            } else if (instance == null) {
+                throw new WireException(batch.place() + ": this instance is not up");
+            }
+            if (event == Wire.STOP) {
+                instance.stopped = true;
+                instances.remove(number);
+                last = null;
+                continue;
+            }
+            last = instance;
+            if (!instance.touched) {
+                instance.touched = true;
+                touched.add(instance);
+            }
+            if (instance.crashed) {
+                continue;
+            }
+            try {
+                read(batch, event, instance, now);
+            } catch (WireException e) {
+                throw e;
+            } catch (RuntimeException e) {
+                instance.crash(e);
+            }
+        }
+        for (int i = 0; i < touched.size(); i++) {
+            Instance instance = touched.get(i);
+            instance.touched = false;
+            if (!instance.stopped && !instance.crashed) {
+                try {
+                    instance.afterBatch(now);
+                } catch (RuntimeException e) {
+                    instance.crash(e);
+                }
+            }
+        }
+        touched.clear();
+    }
+
+    private void read(Wire.Batch b, int event, Instance instance, long now) {
+        Balancer balancer = instance.balancer;
+        switch (event) {
+            case Wire.UP -> {
+                long seed = b.u64(3);
+                instance.balancer = new Balancer(Ticket.read(b.tailBytes(11)), seed, now);
+            }
+            case Wire.ARRIVAL -> {
+                int bits = b.u8(45);
+                instance.arrived(new Association(b.u64(3), b.u16(11), b.i32(13), b.u64(17), b.u64(37),
+                        b.u64(25) * 1000, (bits & 1) != 0 ? b.u32(33) * 1000.0 : 0, (bits & 8) != 0,
+                        (bits & 16) != 0), now);
+            }
+            case Wire.TAKEN_OVER -> {
+                int bits = b.u8(51);
+                Association a = new Association(b.u64(3), b.u16(19), b.i32(43), b.u64(29), b.u64(21),
+                        b.u64(11) * 1000, (bits & 1) != 0 ? b.u32(47) * 1000.0 : 0, (bits & 8) != 0,
+                        (bits & 16) != 0);
+                instance.held.put(a.id, a);
+                balancer.takenOver(a, b.backend(37), now);
+            }
+            case Wire.FIRED -> instance.fired(now);
+            case Wire.HEALTH -> balancer.probed(b.backend(3), outcome(b, 9), b.u32(10) * 1000, report(b, 14), now);
+            case Wire.SETTLED -> instance.settled(b.u64(3), b.u8(12), outcome(b, 19), b.u8(11) != 0,
+                    b.backend(13), b.u32(20) * 1000, report(b, 24), now);
+            case Wire.DISCOVERY -> roster(b, balancer, now);
+            case Wire.UPDATE_OF -> {
+                Association a = instance.held.get(b.u64(3));
+                if (b.u8(18) == 1) {
+                    if (a != null) {
+                        balancer.loadNote(a, b.f32(19) * 1000.0, now);
+                    }
+                } else if (b.u8(18) == 2) {
+                    balancer.delayNote(b.backend(12), (long) (b.f32(19) * 1e6), now);
+                }
+            }
+            case Wire.EXPIRED -> instance.clientLeft(b.u64(3), now);
+            case Wire.ESTABLISHED -> {
+                Association a = instance.held.get(b.u64(3));
+                if (a != null) {
+                    balancer.established(a, b.u8(21), b.u32(11) * 1000, now);
+                }
+            }
+            case Wire.FROM_PEER -> balancer.peerMessage(b.u16(3), b.tailBytes(5), now);
+            default -> throw new WireException(b.place() + ": no such event");
+        }
+    }
+
+    private static Outcome outcome(Wire.Batch b, int offset) {
+        int code = b.u8(offset);
+        if (code >= OUTCOMES.length) {
+            throw new WireException(b.place() + ": no such outcome " + code);
+        }
+        return OUTCOMES[code];
+    }
+
+    private static float[] report(Wire.Batch b, int offset) {
+        int n = b.u8(offset);
+        if (n > 4) {
+            throw new WireException(b.place() + ": a report of " + n + " values");
+        }
+        if (n == 0) {
+            return null;
+        }
+        float[] values = new float[n];
+        for (int i = 0; i < n; i++) {
+            values[i] = b.f32(offset + 1 + 4 * i);
+        }
+        return values;
+    }
+
+    private static void roster(Wire.Batch b, Balancer balancer, long now) {
+        int form = b.u8(3);
+        if (form > 3) {
+            throw new WireException(b.place() + ": no such roster form " + form);
+        }
+        if (form == 3) {
+            balancer.rosterFailed(now);
+            return;
+        }
+        int at = b.tailAt(8, Wire.ENTRY);
+        int n = b.i32(12);
+        List<Listed> lines = new ArrayList<>(n);
+        for (int i = 0; i < n; i++, at += Wire.ENTRY) {
+            int stage = b.bytes.get(at + 10) & 0xff;
+            if (stage >= STAGES.length) {
+                throw new WireException(b.place() + ": no such stage " + stage);
+            }
+            lines.add(new Listed(b.backendAt(at + 11), STAGES[stage], b.bytes.getLong(at) * 1000,
+                    b.bytes.getShort(at + 8) & 0xffff, b.bytes.getFloat(at + 17),
+                    b.bytes.getShort(at + 21) & 0xffff, b.bytes.getShort(at + 23) & 0xffff));
+        }
+        balancer.roster(lines, form != 0, form == 2, now);
+    }
+}
--- /dev/null
+++ b/src/main/java/ambertrestle/simhost/Ticket.java
@@ -0,0 +1,61 @@
+package ambertrestle.simhost;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Turns the wire's settings into the job ticket: house names, times in nanoseconds. */
+final class Ticket {
+    private static final Map<String, String> NAMES = Map.of("repeat", "effect", "dedupScope", "scope",
+            "siblings", "relays", "mostDispatches", "dispatches", "via", "how", "repeats", "effects",
+            "streaming", "streams");
+    private static final Map<String, String> WORDS = Map.of("idempotent", "retriable", "deduplicated",
+            "fingerprinted", "at_most_once", "binding");
+
+    private Ticket() {}
+
+    static Map<String, String> read(byte[] text) {
+        Map<String, String> ticket = new HashMap<>();
+        String all = new String(text, StandardCharsets.UTF_8);
+        for (int from = 0; from < all.length();) {
+            int end = all.indexOf('\n', from);
+            end = end < 0 ? all.length() : end;
+            int sign = all.indexOf('=', from);
+            if (sign > from && sign < end) {
+                put(ticket, all.substring(from, sign), all.substring(sign + 1, end).strip());
+            }
+            from = end + 1;
+        }
+        return ticket;
+    }
+
+    private static void put(Map<String, String> ticket, String name, String value) {
+        String house = name.startsWith("guarantees.") ? "rules." + name.substring(11) : name;
+        String in = value;
+        if (house.endsWith("Us")) {
+            house = house.substring(0, house.length() - 2);
+            in = nanos(value);
+        }
+        int dot = house.lastIndexOf('.');
+        String last = house.substring(dot + 1);
+        house = house.substring(0, dot + 1) + NAMES.getOrDefault(last, last);
+        ticket.put(house, last.equals("repeat") ? WORDS.getOrDefault(in, in) : in);
+    }
+
+    /** One number or several with commas between, from microseconds; what is no number stays as it is. */
+    private static String nanos(String value) {
+        StringBuilder out = new StringBuilder();
+        for (int from = 0; from <= value.length();) {
+            int end = value.indexOf(',', from);
+            end = end < 0 ? value.length() : end;
+            String part = value.substring(from, end);
+            try {
+                out.append(from == 0 ? "" : ",").append(Math.round(Double.parseDouble(part) * 1000));
+            } catch (NumberFormatException e) {
+                out.append(part);
+            }
+            from = end + 1;
+        }
+        return out.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/ambertrestle/simhost/Wire.java
@@ -0,0 +1,197 @@
+package ambertrestle.simhost;
+
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** The wire's frames: one batch to read records from, one reply to write records to. */
+final class Wire {
+    static final int EVENT = 56;
+    static final int ACTION = 24;
+    static final int ENTRY = 25;
+    /** Events. */
+    static final int STOP = 0, ARRIVAL = 1, FIRED = 2, HEALTH = 3, SETTLED = 4, DISCOVERY = 5, UPDATE_OF = 6,
+            EXPIRED = 7, ESTABLISHED = 8, TAKEN_OVER = 9, FROM_PEER = 10, UP = 11;
+    /** Actions. */
+    static final int TRACK = 0, GET_LIST = 1, INSPECT = 2, SURRENDER = 3, CANCEL = 4, PUBLISH = 5, CRASH = 6,
+            EVICT = 7, HAND_OFF = 8, SET_TIMER = 9, PUSH_BACK = 10, RELEASE = 11, EMIT = 12;
+
+    private Wire() {}
+
+    /** The records and the tail of one batch, after its length field. */
+    static final class Batch {
+        final ByteBuffer bytes;
+        final long clockUs;
+        final int records;
+        private final int tail;
+        /** Where the record in hand starts. */
+        int at;
+        private int index;
+
+        Batch(ByteBuffer bytes) {
+            this.bytes = bytes;
+            clockUs = bytes.getLong(0);
+            long count = bytes.getInt(8) & 0xffffffffL;
+            if (12 + count * EVENT > bytes.limit()) {
+                throw new WireException("batch at clock " + clockUs + " names " + count + " records but holds "
+                        + (bytes.limit() - 12) / EVENT);
+            }
+            records = (int) count;
+            tail = 12 + records * EVENT;
+        }
+
+        int open(int record) {
+            index = record;
+            at = 12 + record * EVENT;
+            return u8(0);
+        }
+
+        int u8(int offset) {
+            return bytes.get(at + offset) & 0xff;
+        }
+
+        int u16(int offset) {
+            return bytes.getShort(at + offset) & 0xffff;
+        }
+
+        int i32(int offset) {
+            return bytes.getInt(at + offset);
+        }
+
+        long u32(int offset) {
+            return bytes.getInt(at + offset) & 0xffffffffL;
+        }
+
+        long u64(int offset) {
+            return bytes.getLong(at + offset);
+        }
+
+        float f32(int offset) {
+            return bytes.getFloat(at + offset);
+        }
+
+        /** Address and port as one number, bytes in the order of the wire. */
+        long backend(int offset) {
+            return backendAt(at + offset);
+        }
+
+        long backendAt(int where) {
+            return (bytes.getInt(where) & 0xffffffffL) | (bytes.getShort(where + 4) & 0xffffL) << 32;
+        }
+
+        /** Where the tail part that the field names starts, each of its items `size` bytes long. */
+        int tailAt(int offset, int size) {
+            long start = u32(offset);
+            long end = start + u32(offset + 4) * size;
+            if (tail + end > bytes.limit()) {
+                throw new WireException(place() + " refers to tail bytes " + start + " to " + end
+                        + " but the tail holds " + (bytes.limit() - tail));
+            }
+            return tail + (int) start;
+        }
+
+        byte[] tailBytes(int offset) {
+            int from = tailAt(offset, 1);
+            byte[] copy = new byte[i32(offset + 4)];
+            bytes.get(from, copy);
+            return copy;
+        }
+
+        String place() {
+            return "batch at clock " + clockUs + ", record " + index + " (event " + u8(0) + ", instance " + u16(1) + ")";
+        }
+    }
+
+    /** A reply being built; kept and used again. */
+    static final class Reply {
+        private ByteBuffer records = grown(ByteBuffer.allocate(0), 64 * ACTION);
+        private ByteBuffer tail = grown(ByteBuffer.allocate(0), 256);
+        private int count;
+        private final byte[] none = new byte[ACTION];
+
+        private static ByteBuffer grown(ByteBuffer from, int size) {
+            ByteBuffer to = ByteBuffer.wrap(Arrays.copyOf(from.array(), size)).order(ByteOrder.LITTLE_ENDIAN);
+            to.position(from.position());
+            return to;
+        }
+
+        void clear() {
+            records.clear();
+            tail.clear();
+            count = 0;
+        }
+
+        private ByteBuffer record(int code, int instance) {
+            if (records.remaining() < ACTION) {
+                records = grown(records, records.capacity() * 2);
+            }
+            int start = records.position();
+            records.put(none);
+            records.put(start, (byte) code).putShort(start + 1, (short) instance);
+            count++;
+            return records;
+        }
+
+        private int start() {
+            return records.position() - ACTION;
+        }
+
+        void plain(int code, int instance) {
+            record(code, instance);
+        }
+
+        void withByte(int code, int instance, int value) {
+            record(code, instance).put(start() + 3, (byte) value);
+        }
+
+        void withBackend(int code, int instance, long backend) {
+            record(code, instance);
+            backend(3, backend);
+        }
+
+        void withId(int code, int instance, long id) {
+            record(code, instance).putLong(start() + 3, id);
+        }
+
+        void withId(int code, int instance, long id, long value) {
+            record(code, instance).putLong(start() + 3, id).putInt(start() + 11, (int) value);
+        }
+
+        void handOff(int instance, long id, long backend, long withinUs) {
+            record(HAND_OFF, instance).putLong(start() + 3, id).putInt(start() + 17, (int) withinUs);
+            backend(11, backend);
+        }
+
+        void withBytes(int code, int instance, int fieldAt, byte[] bytes) {
+            while (tail.remaining() < bytes.length) {
+                tail = grown(tail, tail.capacity() * 2);
+            }
+            record(code, instance).putInt(start() + fieldAt, tail.position()).putInt(start() + fieldAt + 4, bytes.length);
+            tail.put(bytes);
+        }
+
+        void publish(int instance, byte[] bytes) {
+            withBytes(PUBLISH, instance, 7, bytes);
+            records.putInt(start() + 3, -1);
+        }
+
+        void text(int code, int instance, String text) {
+            withBytes(code, instance, 3, text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        private void backend(int offset, long backend) {
+            records.putInt(start() + offset, (int) backend).putShort(start() + offset + 4, (short) (backend >>> 32));
+        }
+
+        /** The whole frame; valid until the next call. */
+        byte[] frame() {
+            int body = records.position() + tail.position();
+            byte[] frame = new byte[8 + body];
+            ByteBuffer.wrap(frame).order(ByteOrder.LITTLE_ENDIAN).putInt(count).putInt(body);
+            System.arraycopy(records.array(), 0, frame, 8, records.position());
+            System.arraycopy(tail.array(), 0, frame, 8 + records.position(), tail.position());
+            return frame;
+        }
+    }
+}
