--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -54,7 +54,9 @@
         /** Dispatches that the cold budget still allows, and when that was reckoned. */
         double allowance;
         long allowanceAt;
-        double delay;
+        /** Load of the open connections, where it is told. */
+        double load;
+        long delay;
         long delayAt = Long.MIN_VALUE / 2;
         int mark;
 
@@ -94,13 +96,11 @@
     private long purgeAt;
     private int mark;
     private final Chores chores = new Chores();
+    private final List<Association> moves = new ArrayList<>();
 
-    private final int useCases;
-    private final long[] goal;
-    private final long[] patience;
-    private final String[] effect;
-    private final String[] scope;
-    private final long[] window;
+    private record UseCase(long goal, long cutOff, String effect, String scope, long window) {}
+
+    private final UseCase[] useCases;
     private final int mostDispatches;
     private final boolean secondCopies;
     private final long drainGrace;
@@ -111,6 +111,8 @@
     private final int relays;
     private final boolean weighted;
     private final boolean onRequest;
+    /** The shortest time in which a message is wanted. */
+    private long shortestGoal = Long.MAX_VALUE / 4;
 
     private boolean watchDue;
     private long watchAt = Long.MAX_VALUE;
@@ -124,21 +126,13 @@
     public Balancer(Map<String, String> jobTicket, long seed, long now) {
         this.jobTicket = jobTicket;
         chance = new SplittableRandom(seed);
-        useCases = (int) number("useCases.count");
-        goal = new long[useCases];
-        patience = new long[useCases];
-        effect = new String[useCases];
-        scope = new String[useCases];
-        window = new long[useCases];
-        for (int u = 0; u < useCases; u++) {
+        useCases = new UseCase[(int) number("useCases.count")];
+        for (int u = 0; u < useCases.length; u++) {
             String of = "useCases." + u + ".";
-            goal[u] = (long) number(of + "goalTime");
-            patience[u] = (long) number(of + "cutOff");
-            effect[u] = word(of + "effect", "retriable", "fingerprinted", "binding");
-            if (effect[u].equals("fingerprinted")) {
-                scope[u] = word(of + "scope", "all", "zone", "cell");
-                window[u] = (long) number(of + "window");
-            }
+            String effect = word(of + "effect", "retriable", "fingerprinted", "binding");
+            boolean marked = effect.equals("fingerprinted");
+            useCases[u] = new UseCase((long) number(of + "goalTime"), (long) number(of + "cutOff"), effect,
+                    marked ? word(of + "scope", "all", "zone", "cell") : "", marked ? (long) number(of + "window") : 0);
         }
         mostDispatches = (int) number("limits.dispatches");
         secondCopies = Boolean.parseBoolean(jobTicket.get("limits.secondCopies"));
@@ -152,6 +146,9 @@
         weighted = weights.equals("nominal") || weights.equals("rough");
         onRequest = word("discovery", "pushed", "on_request").equals("on_request");
         watchDue = onRequest;
+        for (String part : jobTicket.getOrDefault("familyInfo.messageAim", "").split(",")) {
+            shortestGoal = part.isEmpty() ? shortestGoal : Math.min(shortestGoal, Long.parseLong(part));
+        }
         bornAt = now;
         sendsAt = now;
         purgeAt = now + ENTRY_AGE;
@@ -183,9 +180,6 @@
         if (a.closed) {
             return Answer.NOTHING;
         }
-        if (a.useCase >= useCases) {
-            throw new IllegalArgumentException("association of use case " + a.useCase + ", known are " + useCases);
-        }
         Backend b = now < a.cutOff ? choose(a, now) : null;
         if (b != null) {
             return send(a, b, now);
@@ -223,6 +217,8 @@
             purge(now);
             purgeAt = now + ENTRY_AGE / 4;
         }
+        chores.moves.addAll(moves);
+        moves.clear();
         chores.wakeAt = Math.min(purgeAt, watchAt);
         return chores;
     }
@@ -276,14 +272,40 @@
     }
 
     public void loadNote(Association a, double load, long now) {
+        if (a.place >= 0) {
+            backends.get(a.sentTo[a.dispatches - 1]).load += load - a.load;
+        }
         a.load = load;
     }
 
     public void delayNote(long backend, long delay, long now) {
         Backend b = backends.get(backend);
-        if (b != null) {
-            b.delay = delay;
-            b.delayAt = now;
+        if (b == null) {
+            return;
+        }
+        boolean rising = delay >= b.delay || now - b.delayAt > 3 * SECOND;
+        b.delay = delay * 3 > shortestGoal ? delay : 0;
+        b.delayAt = now;
+        if (rising && delay > shortestGoal) {
+            moveOff(b, now);
+        }
+    }
+
+    /** Danger: what piles up on an overloaded backend makes every connection there late; some must leave. */
+    private void moveOff(Backend b, long now) {
+        int some = (int) (b.open.size() / 6.0 + chance.nextDouble());
+        for (int n = 0; n < some; n++) {
+            Association heaviest = null;
+            for (Association a : b.open) {
+                if (!a.moved && (heaviest == null || a.load > heaviest.load)) {
+                    heaviest = a;
+                }
+            }
+            if (heaviest == null) {
+                return;
+            }
+            heaviest.moved = true;
+            moves.add(heaviest);
         }
     }
 
@@ -312,7 +334,7 @@
             Entry entry = tracking.get(key);
             Backend known = entry == null ? null : backends.get(entry.backend);
             if (known != null && known.stage == Stage.READY && !tried(a, known) && sound(known, now)
-                    && mayReach(known, a, now)) {
+                    && !overfull(known, now) && mayReach(known, a, now)) {
                 return known;
             }
         }
@@ -320,15 +342,6 @@
             return null;
         }
         int slot = (int) Long.remainderUnsigned(mix(key != 0 ? key : a.id), TABLE);
-        double mean = 0;
-        double weights = 0;
-        for (Backend b : members) {
-            if (b.stage == Stage.READY) {
-                mean += b.held();
-                weights += b.weight;
-            }
-        }
-        mean /= Math.max(weights, 1e-9);
         for (int pass = 0; pass < 2; pass++) {
             mark++;
             int met = 0;
@@ -346,9 +359,7 @@
                 if (b.stage != Stage.READY || tried(a, b)) {
                     continue;
                 }
-                double fair = mean * b.weight;
-                boolean overfull = b.held() > 2 * fair && b.held() >= fair + 2;
-                if (pass == 0 && (overfull || now < b.fullUntil || !admitted(b, key, now) || !sound(b, now))) {
+                if (pass == 0 && (overfull(b, now) || !admitted(b, key, now) || !sound(b, now))) {
                     continue;
                 }
                 if (mayReach(b, a, now)) {
@@ -359,6 +370,33 @@
         return null;
     }
 
+    /** Holds over twice its part of this relay's load and two connections more, said so, or is late. */
+    private boolean overfull(Backend b, long now) {
+        if (now < b.fullUntil || late(b, now)) {
+            return true;
+        }
+        double load = 0;
+        double weights = 0;
+        int held = 0;
+        for (Backend m : members) {
+            if (m.stage == Stage.READY) {
+                load += m.load;
+                weights += m.weight;
+                held += m.held();
+            }
+        }
+        double part = b.weight / Math.max(weights, 1e-9);
+        double one = load > 0 ? load / held : 1;
+        double has = load > 0 ? b.load + b.pending * one : b.held();
+        double fair = load > 0 ? load * part : held * part;
+        return has > 2 * fair && has >= fair + 2 * one;
+    }
+
+    /** Its messages are told to take long. */
+    private static boolean late(Backend b, long now) {
+        return b.delay > 0 && now - b.delayAt < 3 * SECOND;
+    }
+
     private static boolean tried(Association a, Backend b) {
         for (int d = a.dispatches - 1; d >= 0; d--) {
             if (a.sentTo[d] == b.id) {
@@ -432,19 +470,12 @@
             if (a.fate[d] == Fate.OUT && !secondCopies) {
                 return false;
             }
-            switch (effect[a.useCase]) {
-                case "retriable" -> { }
-                case "binding" -> {
-                    return false;
-                }
-                default -> {
-                    Backend before = backends.get(a.sentTo[d]);
-                    if (now - a.sentAt[d] >= window[a.useCase]
-                            || scope[a.useCase].equals("zone") && before.zone != b.zone
-                            || scope[a.useCase].equals("cell") && before.cell != b.cell) {
-                        return false;
-                    }
-                }
+            UseCase u = useCases[a.useCase];
+            Backend before = backends.get(a.sentTo[d]);
+            if (u.effect.equals("binding") || u.effect.equals("fingerprinted") && (now - a.sentAt[d] >= u.window
+                    || u.scope.equals("zone") && before.zone != b.zone
+                    || u.scope.equals("cell") && before.cell != b.cell)) {
+                return false;
             }
         }
         // Rule 4: no cold backend pushed over.
@@ -496,7 +527,7 @@
         if (a.dispatches >= mostDispatches) {
             return left;
         }
-        return Math.min(left, Math.max(goal[a.useCase] / 2, (long) (4 * setUp)));
+        return Math.min(left, Math.max(useCases[a.useCase].goal / 2, (long) (4 * setUp)));
     }
 
     private Answer waitOrGiveUp(Association a, long now) {
@@ -506,7 +537,7 @@
             }
         }
         long pause = 50 * MS << Math.min(a.waits++, 5);
-        if (a.dispatches < mostDispatches && now + pause < a.cutOff - patience[a.useCase] + goal[a.useCase]) {
+        if (a.dispatches < mostDispatches && now + pause < a.cutOff - useCases[a.useCase].cutOff + useCases[a.useCase].goal) {
             return new Answer(Kind.WAIT, 0, now + pause);
         }
         return giveUp(a);
@@ -515,12 +546,13 @@
     /** Rule 1: the one place a final answer is given, at once. */
     private Answer giveUp(Association a) {
         a.closed = true;
-        boolean may = true;
+        UseCase u = useCases[a.useCase];
+        boolean may = u.effect.equals("retriable") || u.scope.equals("all");
+        boolean neverRan = true;
         for (int d = 0; d < a.dispatches; d++) {
-            may &= a.fate[d] == Fate.NEVER_RAN || effect[a.useCase].equals("retriable")
-                    || effect[a.useCase].equals("fingerprinted") && scope[a.useCase].equals("all");
+            neverRan &= a.fate[d] == Fate.NEVER_RAN;
         }
-        return may ? new Answer(Kind.SHED, 0, 0) : Answer.FORFEIT;
+        return may || neverRan ? new Answer(Kind.SHED, 0, 0) : Answer.FORFEIT;
     }
 
     // ---- books
@@ -530,6 +562,7 @@
         b.pending--;
         a.place = b.open.size();
         b.open.add(a);
+        b.load += a.load;
         if (a.key() != 0) {
             Entry entry = tracking.computeIfAbsent(a.key(), k -> new Entry());
             if (entry.backend != b.id) {
@@ -559,6 +592,7 @@
             last.place = a.place;
         }
         a.place = -1;
+        b.load = b.open.isEmpty() ? 0 : b.load - a.load;
         Entry entry = tracking.get(a.key());
         if (entry != null && entry.backend == b.id && entry.open > 0 && --entry.open == 0) {
             entry.endedAt = now;
