--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -117,9 +117,9 @@
     private boolean watchDue;
     private long watchAt = Long.MAX_VALUE;
     private int watchFailures;
-    /** Own dispatches to warm backends, decaying over some seconds, and the weight they went to. */
-    private double sends;
-    private long sendsAt;
+    /** Connections that lived to their end here, decaying: what warm backends surely carry. */
+    private double ended;
+    private long endedAt;
     private final long bornAt;
     private double setUp;
 
@@ -150,7 +150,7 @@
             shortestGoal = part.isEmpty() ? shortestGoal : Math.min(shortestGoal, Long.parseLong(part));
         }
         bornAt = now;
-        sendsAt = now;
+        endedAt = now;
         purgeAt = now + ENTRY_AGE;
     }
 
@@ -446,6 +446,10 @@
         switch (outcome) {
             case FULL -> b.fullUntil = now + SECOND / 2;
             case ERROR, TIMED_OUT, NOT_CONNECTED -> b.bad++;
+            case DONE -> {
+                ageEnded(now);
+                ended++;
+            }
             case RESET -> b.bad += wasEstablished ? 0.5 : 1;
             default -> { }
         }
@@ -499,22 +503,20 @@
         for (Backend m : members) {
             weights += m.stage == Stage.READY ? m.weight : 0;
         }
-        decaySends(now);
+        ageEnded(now);
+        // Danger: dispatches counted in a storm of resets come back many times over and would inflate the budget.
         double span = Math.min(now - bornAt, 10 * SECOND) + SECOND;
-        return fallMultiple * warmth(b, now) * sends / span * b.weight / Math.max(weights, 1e-9);
+        return fallMultiple * warmth(b, now) * ended / span * b.weight / Math.max(weights, 1e-9);
     }
 
-    private void decaySends(long now) {
-        sends *= Math.exp(-(double) (now - sendsAt) / (10 * SECOND));
-        sendsAt = now;
+    private void ageEnded(long now) {
+        ended *= Math.exp(-(double) (now - endedAt) / (10 * SECOND));
+        endedAt = now;
     }
 
     private Answer send(Association a, Backend b, long now) {
         if (warmth(b, now) < 1) {
             b.allowance--;
-        } else {
-            decaySends(now);
-            sends++;
         }
         a.sent(b.id, now);
         b.pending++;
