Bound how far a group walks, and send nothing to backends late beyond the goal

Cause: in the first incidents of all three deployments a full fleet strewed each group over every backend; each pays for the group, all stay late and reset.

--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -111,6 +111,7 @@
     private final int relays;
     private final boolean weighted;
     private final boolean onRequest;
+    private final long comeBack;
     /** The shortest time in which a message is wanted. */
     private long shortestGoal = Long.MAX_VALUE / 4;
 
@@ -146,6 +147,7 @@
         weighted = weights.equals("nominal") || weights.equals("rough");
         onRequest = word("discovery", "pushed", "on_request").equals("on_request");
         watchDue = onRequest;
+        comeBack = "true".equals(jobTicket.get("limits.retryAfter")) ? (long) number("limits.maxRetryAfter") : 0;
         for (String part : jobTicket.getOrDefault("familyInfo.messageAim", "").split(",")) {
             shortestGoal = part.isEmpty() ? shortestGoal : Math.min(shortestGoal, Long.parseLong(part));
         }
@@ -330,8 +332,15 @@
 
     private Backend choose(Association a, long now) {
         long key = a.key();
+        int depth = members.length;
         if (key != 0) {
             Entry entry = tracking.get(key);
+            int all = 0;
+            for (Backend m : members) {
+                all += m.open.size();
+            }
+            // Danger: every backend that holds any of a group pays for it; a group strewn over all sinks them all.
+            depth = 2 + (entry == null || all == 0 ? 0 : (int) Math.ceil((double) entry.open * members.length / all));
             Backend known = entry == null ? null : backends.get(entry.backend);
             if (known != null && known.stage == Stage.READY && !tried(a, known) && sound(known, now)
                     && !overfull(known, now) && mayReach(known, a, now)) {
@@ -345,18 +354,20 @@
         for (int pass = 0; pass < 2; pass++) {
             mark++;
             int met = 0;
-            for (int i = 0; i < TABLE && met < members.length; i++) {
+            int ready = 0;
+            for (int i = 0; i < TABLE && met < members.length && ready < depth; i++) {
                 Backend b = table[slot + i < TABLE ? slot + i : slot + i - TABLE];
                 if (b.mark == mark) {
                     continue;
                 }
                 b.mark = mark;
-                met++;
-                boolean first = met == 1 && a.midFlow && a.dispatches == 0;
+                boolean first = met++ == 0 && a.midFlow && a.dispatches == 0;
                 if (first && mayReach(b, a, now)) {
                     return b;
                 }
-                if (b.stage != Stage.READY || tried(a, b)) {
+                // Danger: work sent to a fleet that is late all over keeps it late; what finds no place waits or is shed.
+                ready += b.stage == Stage.READY ? 1 : 0;
+                if (b.stage != Stage.READY || tried(a, b) || late(b, now) && b.delay > shortestGoal) {
                     continue;
                 }
                 if (pass == 0 && (overfull(b, now) || !admitted(b, key, now) || !sound(b, now))) {
@@ -554,7 +565,7 @@
         for (int d = 0; d < a.dispatches; d++) {
             neverRan &= a.fate[d] == Fate.NEVER_RAN;
         }
-        return may || neverRan ? new Answer(Kind.SHED, 0, 0) : Answer.FORFEIT;
+        return may || neverRan ? new Answer(Kind.SHED, 0, comeBack) : Answer.FORFEIT;
     }
 
     // ---- books
@@ -567,10 +578,7 @@
         b.load += a.load;
         if (a.key() != 0) {
             Entry entry = tracking.computeIfAbsent(a.key(), k -> new Entry());
-            if (entry.backend != b.id) {
-                entry.backend = b.id;
-                entry.open = 0;
-            }
+            entry.backend = b.id;
             entry.open++;
             if (tracking.size() > MOST_ENTRIES) {
                 Iterator<Map.Entry<Long, Entry>> oldest = tracking.entrySet().iterator();
@@ -596,7 +604,7 @@
         a.place = -1;
         b.load = b.open.isEmpty() ? 0 : b.load - a.load;
         Entry entry = tracking.get(a.key());
-        if (entry != null && entry.backend == b.id && entry.open > 0 && --entry.open == 0) {
+        if (entry != null && entry.open > 0 && --entry.open == 0) {
             entry.endedAt = now;
         }
     }
