--- a/src/main/java/ambertrestle/decide/Association.java
+++ b/src/main/java/ambertrestle/decide/Association.java
@@ -28,6 +28,8 @@
     public boolean closed;
     /** Moved off its backend on this relay's wish. */
     public boolean moved;
+    /** The time it was given while set-ups are paced; 0 while none. */
+    public long slot;
     /** How often it was told to wait. */
     public int waits;
     /** Its place in its backend's list of open connections; -1 while in none. */
@@ -51,6 +53,34 @@
         return group != 0 ? group : client;
     }
 
+    public boolean tried(long backend) {
+        for (int d = 0; d < dispatches; d++) {
+            if (sentTo[d] == backend) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** A dispatch is still out. */
+    public boolean out() {
+        return any(Fate.OUT);
+    }
+
+    /** Every dispatch so far is known not to have run. */
+    public boolean neverRan() {
+        return !any(Fate.OUT) && !any(Fate.MAY_HAVE_RUN);
+    }
+
+    private boolean any(Fate wanted) {
+        for (int d = 0; d < dispatches; d++) {
+            if (fate[d] == wanted) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     public void sent(long backend, long now) {
         if (dispatches == sentTo.length) {
             sentTo = java.util.Arrays.copyOf(sentTo, dispatches * 2);
--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -101,17 +101,10 @@
     private record UseCase(long goal, long cutOff, String effect, String scope, long window) {}
 
     private final UseCase[] useCases;
-    private final int mostDispatches;
-    private final boolean secondCopies;
-    private final long drainGrace;
-    private final double coldFrom;
-    private final long coldFor;
-    private final double fallMultiple;
-    private final long fallFor;
-    private final int relays;
-    private final boolean weighted;
-    private final boolean onRequest;
-    private final long comeBack;
+    private final int mostDispatches, relays;
+    private final boolean secondCopies, weighted, onRequest;
+    private final long drainGrace, coldFor, fallFor, comeBack;
+    private final double coldFrom, fallMultiple;
     /** The shortest time in which a message is wanted. */
     private long shortestGoal = Long.MAX_VALUE / 4;
 
@@ -123,6 +116,9 @@
     private long endedAt;
     private final long bornAt;
     private double setUp;
+    /** The time between two set-ups while set-ups fail all over, and the next that is free. */
+    private long pace;
+    private long nextSlot;
 
     public Balancer(Map<String, String> jobTicket, long seed, long now) {
         this.jobTicket = jobTicket;
@@ -157,20 +153,18 @@
     }
 
     private double number(String name) {
-        String value = jobTicket.get(name);
+        String value = word(name);
         try {
-            return Double.parseDouble(value == null ? "" : value);
+            return Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw new IllegalArgumentException("job ticket: " + name + (value == null ? " is missing"
-                    : " is not a number: " + value));
+            throw new IllegalArgumentException("job ticket: " + name + " is not a number: " + value);
         }
     }
 
     private String word(String name, String... known) {
         String value = jobTicket.get(name);
-        if (value == null || !Arrays.asList(known).contains(value)) {
-            throw new IllegalArgumentException("job ticket: " + name + (value == null ? " is missing"
-                    : " is not known: " + value));
+        if (value == null || known.length > 0 && !Arrays.asList(known).contains(value)) {
+            throw new IllegalArgumentException("job ticket: " + name + (value == null ? " is missing" : " is " + value));
         }
         return value;
     }
@@ -182,6 +176,16 @@
         if (a.closed) {
             return Answer.NOTHING;
         }
+        if (pace > 0 && now < nextSlot && a.slot == 0 && !a.midFlow) {
+            if (nextSlot >= a.cutOff - useCases[a.useCase].cutOff / 4) {
+                return giveUp(a);
+            }
+            a.slot = nextSlot;
+            nextSlot += pace;
+            return new Answer(Kind.WAIT, 0, a.slot);
+        }
+        a.slot = 0;
+        nextSlot = Math.max(nextSlot, now + pace);
         Backend b = now < a.cutOff ? choose(a, now) : null;
         if (b != null) {
             return send(a, b, now);
@@ -196,10 +200,9 @@
             return Answer.NOTHING;
         }
         Backend b = backends.get(a.sentTo[dispatch]);
-        boolean wasEstablished = a.established;
         a.fate[dispatch] = outcome.neverRan ? Fate.NEVER_RAN : Fate.MAY_HAVE_RUN;
         unhold(a, b, now);
-        judge(b, outcome, wasEstablished, now);
+        judge(b, outcome, a.established, now);
         if (finished || a.closed) {
             a.closed = true;
             return Answer.NOTHING;
@@ -269,6 +272,7 @@
         Backend b = backends.get(a.sentTo[dispatch]);
         b.age(now);
         b.good++;
+        pace = pace < 50 * MS ? 0 : pace * 3 / 4;
         setUp += (took - setUp) / 16;
         hold(a, b, now);
     }
@@ -320,7 +324,7 @@
 
     public void clientLeft(Association a, long now) {
         a.closed = true;
-        if (a.dispatches > 0 && a.fate[a.dispatches - 1] == Fate.OUT) {
+        if (a.out()) {
             unhold(a, backends.get(a.sentTo[a.dispatches - 1]), now);
         }
     }
@@ -342,7 +346,7 @@
             // Danger: every backend that holds any of a group pays for it; a group strewn over all sinks them all.
             depth = 2 + (entry == null || all == 0 ? 0 : (int) Math.ceil((double) entry.open * members.length / all));
             Backend known = entry == null ? null : backends.get(entry.backend);
-            if (known != null && known.stage == Stage.READY && !tried(a, known) && sound(known, now)
+            if (known != null && known.stage == Stage.READY && !a.tried(known.id) && sound(known, now)
                     && !overfull(known, now) && mayReach(known, a, now)) {
                 return known;
             }
@@ -367,7 +371,7 @@
                 }
                 // Danger: work sent to a fleet that is late all over keeps it late; what finds no place waits or is shed.
                 ready += b.stage == Stage.READY ? 1 : 0;
-                if (b.stage != Stage.READY || tried(a, b) || late(b, now) && b.delay > shortestGoal) {
+                if (b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal) {
                     continue;
                 }
                 if (pass == 0 && (overfull(b, now) || !admitted(b, key, now) || !sound(b, now))) {
@@ -408,15 +412,6 @@
         return b.delay > 0 && now - b.delayAt < 3 * SECOND;
     }
 
-    private static boolean tried(Association a, Backend b) {
-        for (int d = a.dispatches - 1; d >= 0; d--) {
-            if (a.sentTo[d] == b.id) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** A fresh backend takes a share of its keys that grows with its age, the same keys at every relay. */
     private boolean admitted(Backend b, long key, long now) {
         double share = warmth(b, now);
@@ -436,13 +431,8 @@
         if (b.bad < 0.25) {
             return true;
         }
-        int doubtful = 0;
-        for (Backend other : members) {
-            other.age(now);
-            doubtful += other.bad >= 0.25 ? 1 : 0;
-        }
         // Danger: a shared store that slows fails set-ups everywhere; blaming each backend would leave none.
-        if (doubtful * 3 > members.length && doubtful > 1) {
+        if (jammed(now)) {
             return true;
         }
         double yes = 1 + b.good;
@@ -452,11 +442,29 @@
         return draw >= 0.5;
     }
 
+    /** Over a third of the backends fail: what they share is to blame. */
+    private boolean jammed(long now) {
+        int doubtful = 0;
+        for (Backend b : members) {
+            b.age(now);
+            doubtful += b.bad >= 0.25 ? 1 : 0;
+        }
+        return doubtful * 3 > members.length && doubtful > 1;
+    }
+
     private void judge(Backend b, Outcome outcome, boolean wasEstablished, long now) {
         b.age(now);
         switch (outcome) {
             case FULL -> b.fullUntil = now + SECOND / 2;
-            case ERROR, TIMED_OUT, NOT_CONNECTED -> b.bad++;
+            case NOT_CONNECTED -> b.bad++;
+            case ERROR, TIMED_OUT -> {
+                b.bad++;
+                // Danger: repeats at once keep a jammed store jammed; set-ups are spaced until they succeed again.
+                if (jammed(now)) {
+                    pace = Math.min(SECOND, Math.max(2 * pace, 50 * MS));
+                    nextSlot = Math.max(nextSlot, now + pace / 2 + chance.nextLong(pace));
+                }
+            }
             case DONE -> {
                 ageEnded(now);
                 ended++;
@@ -537,17 +545,15 @@
     /** Leaves room for a further dispatch before the goal time while there is one, else before the cut-off. */
     private long timeOut(Association a, long now) {
         long left = a.cutOff - now;
-        if (a.dispatches >= mostDispatches) {
+        if (a.dispatches >= mostDispatches || pace > 0) {
             return left;
         }
         return Math.min(left, Math.max(useCases[a.useCase].goal / 2, (long) (4 * setUp)));
     }
 
     private Answer waitOrGiveUp(Association a, long now) {
-        for (int d = 0; d < a.dispatches; d++) {
-            if (a.fate[d] == Fate.OUT) {
-                return Answer.NOTHING;
-            }
+        if (a.out()) {
+            return Answer.NOTHING;
         }
         long pause = 50 * MS << Math.min(a.waits++, 5);
         if (a.dispatches < mostDispatches && now + pause < a.cutOff - useCases[a.useCase].cutOff + useCases[a.useCase].goal) {
@@ -560,12 +566,7 @@
     private Answer giveUp(Association a) {
         a.closed = true;
         UseCase u = useCases[a.useCase];
-        boolean may = u.effect.equals("retriable") || u.scope.equals("all");
-        boolean neverRan = true;
-        for (int d = 0; d < a.dispatches; d++) {
-            neverRan &= a.fate[d] == Fate.NEVER_RAN;
-        }
-        return may || neverRan ? new Answer(Kind.SHED, 0, comeBack) : Answer.FORFEIT;
+        return u.effect.equals("retriable") || u.scope.equals("all") || a.neverRan() ? new Answer(Kind.SHED, 0, comeBack) : Answer.FORFEIT;
     }
 
     // ---- books
