--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -393,8 +393,10 @@
         double load = 0;
         double weights = 0;
         int held = 0;
+        int lates = 0;
         for (Backend m : members) {
             if (m.stage == Stage.READY) {
+                lates += late(m, now) ? 1 : 0;
                 load += m.load;
                 weights += m.weight;
                 held += m.held();
@@ -404,7 +406,8 @@
         double one = load > 0 ? load / held : 1;
         double has = load > 0 ? b.load + b.pending * one : b.held();
         double fair = load > 0 ? load * part : held * part;
-        return has > 2 * fair && has >= fair + 2 * one;
+        double bound = Math.max(1.25, 2 - 2.0 * lates / members.length);
+        return has > bound * fair && has >= fair + bound * one;
     }
 
     /** Its messages are told to take long. */
