--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -302,8 +302,11 @@
         int some = (int) (b.open.size() / 6.0 + chance.nextDouble());
         for (int n = 0; n < some; n++) {
             Association heaviest = null;
+            boolean guests = false;
             for (Association a : b.open) {
-                if (!a.moved && (heaviest == null || a.load > heaviest.load)) {
+                boolean guest = table[slot(a)] != b;
+                if (!a.moved && (heaviest == null || guest && !guests || guest == guests && a.load > heaviest.load)) {
+                    guests = guest;
                     heaviest = a;
                 }
             }
@@ -354,7 +357,7 @@
         if (members.length == 0) {
             return null;
         }
-        int slot = (int) Long.remainderUnsigned(mix(key != 0 ? key : a.id), TABLE);
+        int slot = slot(a);
         for (int pass = 0; pass < 2; pass++) {
             mark++;
             int met = 0;
@@ -385,6 +388,10 @@
         return null;
     }
 
+    private static int slot(Association a) {
+        return (int) Long.remainderUnsigned(mix(a.key() != 0 ? a.key() : a.id), TABLE);
+    }
+
     /** Holds over twice its part of this relay's load and two connections more, said so, or is late. */
     private boolean overfull(Backend b, long now) {
         if (now < b.fullUntil || late(b, now)) {
