--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -347,7 +347,7 @@
                 all += m.open.size();
             }
             // Danger: every backend that holds any of a group pays for it; a group strewn over all sinks them all.
-            depth = 2 + (entry == null || all == 0 ? 0 : (int) Math.ceil((double) entry.open * members.length / all));
+            depth = (lateShare(now) * 3 > 1 ? 1 : 2) + (entry == null || all == 0 ? 0 : (int) Math.ceil((double) entry.open * members.length / all));
             Backend known = entry == null ? null : backends.get(entry.backend);
             if (known != null && known.stage == Stage.READY && !a.tried(known.id) && sound(known, now)
                     && !overfull(known, now) && mayReach(known, a, now)) {
@@ -400,10 +400,8 @@
         double load = 0;
         double weights = 0;
         int held = 0;
-        int lates = 0;
         for (Backend m : members) {
             if (m.stage == Stage.READY) {
-                lates += late(m, now) ? 1 : 0;
                 load += m.load;
                 weights += m.weight;
                 held += m.held();
@@ -413,10 +411,18 @@
         double one = load > 0 ? load / held : 1;
         double has = load > 0 ? b.load + b.pending * one : b.held();
         double fair = load > 0 ? load * part : held * part;
-        double bound = Math.max(1.25, 2 - 2.0 * lates / members.length);
+        double bound = Math.max(1.25, 2 - 2 * lateShare(now));
         return has > bound * fair && has >= fair + bound * one;
     }
 
+    private double lateShare(long now) {
+        int lates = 0;
+        for (Backend b : members) {
+            lates += late(b, now) ? 1 : 0;
+        }
+        return (double) lates / members.length;
+    }
+
     /** Its messages are told to take long. */
     private static boolean late(Backend b, long now) {
         return b.delay > 0 && now - b.delayAt < 3 * SECOND;
