--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -347,7 +347,7 @@
                 all += m.open.size();
             }
             // Danger: every backend that holds any of a group pays for it; a group strewn over all sinks them all.
-            depth = (lateShare(now) * 3 > 1 ? 1 : 2) + (entry == null || all == 0 ? 0 : (int) Math.ceil((double) entry.open * members.length / all));
+            depth = (int) (2.5 - 3 * Math.min(0.6, lateShare(now))) + (entry == null || all == 0 ? 1 : (int) Math.ceil((double) entry.open * members.length / all));
             Backend known = entry == null ? null : backends.get(entry.backend);
             if (known != null && known.stage == Stage.READY && !a.tried(known.id) && sound(known, now)
                     && !overfull(known, now) && mayReach(known, a, now)) {
