--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -59,6 +59,8 @@
         long delay;
         long delayAt = Long.MIN_VALUE / 2;
         int mark;
+        /** Holds an open connection of the key in hand. */
+        boolean holds;
 
         Backend(long id) {
             this.id = id;
@@ -340,14 +342,20 @@
     private Backend choose(Association a, long now) {
         long key = a.key();
         int depth = members.length;
+        int holding = 0;
         if (key != 0) {
             Entry entry = tracking.get(key);
             int all = 0;
             for (Backend m : members) {
                 all += m.open.size();
+                m.holds = false;
+                for (Association other : m.open) {
+                    m.holds |= other.key() == key;
+                }
+                holding += m.holds ? 1 : 0;
             }
             // Danger: every backend that holds any of a group pays for it; a group strewn over all sinks them all.
-            depth = (int) (2.5 - 3 * Math.min(0.6, lateShare(now))) + (entry == null || all == 0 ? 1 : (int) Math.ceil((double) entry.open * members.length / all));
+            depth = (lateShare(now) * 3 > 1 ? 1 : 2) + (entry == null || all == 0 ? 0 : (int) Math.ceil((double) entry.open * members.length / all));
             Backend known = entry == null ? null : backends.get(entry.backend);
             if (known != null && known.stage == Stage.READY && !a.tried(known.id) && sound(known, now)
                     && !overfull(known, now) && mayReach(known, a, now)) {
@@ -361,20 +369,20 @@
         for (int pass = 0; pass < 2; pass++) {
             mark++;
             int met = 0;
-            int ready = 0;
-            for (int i = 0; i < TABLE && met < members.length && ready < depth; i++) {
+            for (int i = 0; i < TABLE && met < members.length; i++) {
                 Backend b = table[slot + i < TABLE ? slot + i : slot + i - TABLE];
                 if (b.mark == mark) {
                     continue;
                 }
                 b.mark = mark;
-                boolean first = met++ == 0 && a.midFlow && a.dispatches == 0;
+                met++;
+                boolean first = met == 1 && a.midFlow && a.dispatches == 0;
                 if (first && mayReach(b, a, now)) {
                     return b;
                 }
                 // Danger: work sent to a fleet that is late all over keeps it late; what finds no place waits or is shed.
-                ready += b.stage == Stage.READY ? 1 : 0;
-                if (b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal) {
+                if (b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
+                        || holding >= depth && !b.holds) {
                     continue;
                 }
                 if (pass == 0 && (overfull(b, now) || !admitted(b, key, now) || !sound(b, now))) {
