--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -365,11 +365,13 @@
         if (members.length == 0) {
             return null;
         }
+        int walk = lateShare(now) * 4 > 1 ? depth : members.length;
         int slot = slot(a);
         for (int pass = 0; pass < 2; pass++) {
             mark++;
             int met = 0;
-            for (int i = 0; i < TABLE && met < members.length; i++) {
+            int ready = 0;
+            for (int i = 0; i < TABLE && met < members.length && ready < walk; i++) {
                 Backend b = table[slot + i < TABLE ? slot + i : slot + i - TABLE];
                 if (b.mark == mark) {
                     continue;
@@ -381,6 +383,7 @@
                     return b;
                 }
                 // Danger: work sent to a fleet that is late all over keeps it late; what finds no place waits or is shed.
+                ready += b.stage == Stage.READY ? 1 : 0;
                 if (b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
                         || holding >= depth && !b.holds) {
                     continue;
