--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -6,16 +6,15 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 
 /**
- * Every decision of one relay. Ask {@link #where} for an association that arrived or has waited, {@link #after}
- * when a dispatch ended, and {@link #howLong} after each batch; tell it the rest. The plain values it takes and
- * gives stand beside it in this package. One instance a relay, one thread, the batch's clock in nanoseconds.
+ * Every decision of one relay. Ask {@link #where} for an association that arrived or has waited,
+ * {@link #after} when a dispatch ended, {@link #howLong} after each batch; tell it the rest. The plain values
+ * of this interface stand beside it in this package. One instance a relay, one thread, the batch's clock.
  *
  * <p>The ordinary path is docs/design.md's: own tracking table, else the Maglev table in the key's order.
  * Mechanisms beside it:
@@ -40,17 +39,14 @@
         final long hash;
         Stage stage = Stage.GONE;
         long startedAt;
-        int cell;
-        int zone;
+        int cell, zone;
         double weight = 1;
         /** When this relay heard that it drains or is gone. */
         long heardAt;
         final ArrayList<Association> open = new ArrayList<>();
         int pending;
-        double good;
-        double bad;
-        long evidenceAt;
-        long fullUntil;
+        double good, bad;
+        long evidenceAt, fullUntil;
         /** Dispatches that the cold budget still allows, and when that was reckoned. */
         double allowance;
         long allowanceAt;
@@ -103,8 +99,8 @@
     private record UseCase(long goal, long cutOff, String effect, String scope, long window) {}
 
     private final UseCase[] useCases;
-    private final int mostDispatches, relays;
-    private final boolean secondCopies, weighted, onRequest;
+    private final int mostDispatches;
+    private final boolean secondCopies, weighted;
     private final long drainGrace, coldFor, fallFor, comeBack;
     private final double coldFrom, fallMultiple;
     /** The shortest time in which a message is wanted. */
@@ -121,6 +117,11 @@
     /** The time between two set-ups while set-ups fail all over, and the next that is free. */
     private long pace;
     private long nextSlot;
+    /** What the last survey saw: of the ready ones, weight, load and connections; how many hold the key. */
+    private double weights, load, lateShare;
+    private int held, holding;
+    /** Over a third of the backends fail set-ups: what they share is to blame. */
+    private boolean jammed;
 
     public Balancer(Map<String, String> jobTicket, long seed, long now) {
         this.jobTicket = jobTicket;
@@ -131,7 +132,8 @@
             String effect = word(of + "effect", "retriable", "fingerprinted", "binding");
             boolean marked = effect.equals("fingerprinted");
             useCases[u] = new UseCase((long) number(of + "goalTime"), (long) number(of + "cutOff"), effect,
-                    marked ? word(of + "scope", "all", "zone", "cell") : "", marked ? (long) number(of + "window") : 0);
+                    marked ? word(of + "scope", "all", "zone", "cell") : "",
+                    marked ? (long) number(of + "window") : 0);
         }
         mostDispatches = (int) number("limits.dispatches");
         secondCopies = Boolean.parseBoolean(jobTicket.get("limits.secondCopies"));
@@ -140,12 +142,11 @@
         coldFor = (long) number("rules.cold");
         fallMultiple = number("rules.fallMultiple");
         fallFor = (long) number("rules.fall");
-        relays = Math.max(1, (int) number("relays"));
         String weights = word("weights", "nominal", "rough", "none", "live");
         weighted = weights.equals("nominal") || weights.equals("rough");
-        onRequest = word("discovery", "pushed", "on_request").equals("on_request");
-        watchDue = onRequest;
-        comeBack = "true".equals(jobTicket.get("limits.retryAfter")) ? (long) number("limits.maxRetryAfter") : 0;
+        watchDue = word("discovery", "pushed", "on_request").equals("on_request");
+        boolean tells = Boolean.parseBoolean(jobTicket.get("limits.retryAfter"));
+        comeBack = tells ? (long) number("limits.maxRetryAfter") : 0;
         for (String part : jobTicket.getOrDefault("familyInfo.messageAim", "").split(",")) {
             shortestGoal = part.isEmpty() ? shortestGoal : Math.min(shortestGoal, Long.parseLong(part));
         }
@@ -166,7 +167,8 @@
     private String word(String name, String... known) {
         String value = jobTicket.get(name);
         if (value == null || known.length > 0 && !Arrays.asList(known).contains(value)) {
-            throw new IllegalArgumentException("job ticket: " + name + (value == null ? " is missing" : " is " + value));
+            throw new IllegalArgumentException("job ticket: " + name
+                    + (value == null ? " is missing" : " is not known: " + value));
         }
         return value;
     }
@@ -189,15 +191,11 @@
         a.slot = 0;
         nextSlot = Math.max(nextSlot, now + pace);
         Backend b = now < a.cutOff ? choose(a, now) : null;
-        if (b != null) {
-            return send(a, b, now);
-        }
-        return waitOrGiveUp(a, now);
+        return b != null ? send(a, b, now) : waitOrGiveUp(a, now);
     }
 
-    /** What to do after this outcome of a dispatch. `finished`: the association is over with it or before it. */
-    public Answer after(Association a, int dispatch, Outcome outcome, boolean finished, long took, float[] report,
-            long now) {
+    /** What to do after this outcome of a dispatch; `finished`: the association is over. */
+    public Answer after(Association a, int dispatch, Outcome outcome, boolean finished, long now) {
         if (dispatch < 0 || dispatch >= a.dispatches || a.fate[dispatch] != Fate.OUT) {
             return Answer.NOTHING;
         }
@@ -221,7 +219,7 @@
             chores.rosterCall = Chores.RosterCall.WATCH;
         }
         if (now >= purgeAt) {
-            purge(now);
+            tracking.values().removeIf(e -> e.open == 0 && now - e.endedAt >= ENTRY_AGE);
             purgeAt = now + ENTRY_AGE / 4;
         }
         chores.moves.addAll(moves);
@@ -307,7 +305,8 @@
             boolean guests = false;
             for (Association a : b.open) {
                 boolean guest = table[slot(a)] != b;
-                if (!a.moved && (heaviest == null || guest && !guests || guest == guests && a.load > heaviest.load)) {
+                boolean better = heaviest == null || guest && !guests;
+                if (!a.moved && (better || guest == guests && a.load > heaviest.load)) {
                     guests = guest;
                     heaviest = a;
                 }
@@ -320,12 +319,10 @@
         }
     }
 
-    public void probed(long backend, Outcome outcome, long took, float[] report, long now) {
-    }
+    public void probed(long backend, Outcome outcome, long now) {}
 
-    /** An outcome of an association that is no longer held. */
-    public void lateOutcome(long backend, Outcome outcome, float[] report, long now) {
-    }
+    /** A load report: values in the order of the job ticket's stats.fields. */
+    public void report(long backend, float[] values, long now) {}
 
     public void clientLeft(Association a, long now) {
         a.closed = true;
@@ -334,38 +331,26 @@
         }
     }
 
-    public void peerMessage(int from, byte[] message, long now) {
-    }
+    public void peerMessage(int from, byte[] message, long now) {}
 
     // ---- the ordinary path
 
     private Backend choose(Association a, long now) {
         long key = a.key();
-        int depth = members.length;
-        int holding = 0;
-        if (key != 0) {
-            Entry entry = tracking.get(key);
-            int all = 0;
-            for (Backend m : members) {
-                all += m.open.size();
-                m.holds = false;
-                for (Association other : m.open) {
-                    m.holds |= other.key() == key;
-                }
-                holding += m.holds ? 1 : 0;
-            }
-            // Danger: every backend that holds any of a group pays for it; a group strewn over all sinks them all.
-            depth = (lateShare(now) * 3 > 1 ? 1 : 2) + (entry == null || all == 0 ? 0 : (int) Math.ceil((double) entry.open * members.length / all));
-            Backend known = entry == null ? null : backends.get(entry.backend);
-            if (known != null && known.stage == Stage.READY && !a.tried(known.id) && sound(known, now)
-                    && !overfull(known, now) && mayReach(known, a, now)) {
-                return known;
-            }
-        }
         if (members.length == 0) {
             return null;
         }
-        int walk = lateShare(now) * 4 > 1 ? depth : members.length;
+        survey(key, now);
+        Entry entry = key == 0 ? null : tracking.get(key);
+        Backend known = entry == null ? null : backends.get(entry.backend);
+        if (known != null && known.stage == Stage.READY && !a.tried(known.id) && sound(known)
+                && !overfull(known, now) && mayReach(known, a, now)) {
+            return known;
+        }
+        // Danger: every backend that holds any of a group pays for it; one strewn over all sinks them all.
+        double share = entry == null || held == 0 ? 0 : (double) entry.open / held;
+        int depth = (lateShare * 3 > 1 ? 1 : 2) + (int) Math.ceil(share * members.length);
+        int walk = lateShare * 4 > 1 ? depth : members.length;
         int slot = slot(a);
         for (int pass = 0; pass < 2; pass++) {
             mark++;
@@ -378,17 +363,14 @@
                 }
                 b.mark = mark;
                 met++;
-                boolean first = met == 1 && a.midFlow && a.dispatches == 0;
-                if (first && mayReach(b, a, now)) {
+                if (met == 1 && a.midFlow && a.dispatches == 0 && mayReach(b, a, now)) {
                     return b;
                 }
-                // Danger: work sent to a fleet that is late all over keeps it late; what finds no place waits or is shed.
+                // Danger: work sent to a fleet that is late all over keeps it late; it waits or is shed.
                 ready += b.stage == Stage.READY ? 1 : 0;
                 if (b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
-                        || holding >= depth && !b.holds) {
-                    continue;
-                }
-                if (pass == 0 && (overfull(b, now) || !admitted(b, key, now) || !sound(b, now))) {
+                        || holding >= depth && !b.holds
+                        || pass == 0 && (overfull(b, now) || !admitted(b, key, now) || !sound(b))) {
                     continue;
                 }
                 if (mayReach(b, a, now)) {
@@ -408,30 +390,38 @@
         if (now < b.fullUntil || late(b, now)) {
             return true;
         }
-        double load = 0;
-        double weights = 0;
-        int held = 0;
-        for (Backend m : members) {
-            if (m.stage == Stage.READY) {
-                load += m.load;
-                weights += m.weight;
-                held += m.held();
-            }
-        }
         double part = b.weight / Math.max(weights, 1e-9);
         double one = load > 0 ? load / held : 1;
         double has = load > 0 ? b.load + b.pending * one : b.held();
-        double fair = load > 0 ? load * part : held * part;
-        double bound = Math.max(1.25, 2 - 2 * lateShare(now));
-        return has > bound * fair && has >= fair + bound * one;
+        double bound = Math.max(1.25, 2 - 2 * lateShare);
+        return has > bound * held * one * part && has >= held * one * part + bound * one;
     }
 
-    private double lateShare(long now) {
+    /** Looks over the backends: what they hold, how they fare, who holds the key. */
+    private void survey(long key, long now) {
+        weights = 0;
+        load = 0;
+        held = 0;
+        holding = 0;
         int lates = 0;
+        int doubtful = 0;
         for (Backend b : members) {
+            b.age(now);
+            doubtful += b.bad >= 0.25 ? 1 : 0;
             lates += late(b, now) ? 1 : 0;
+            b.holds = false;
+            for (Association other : b.open) {
+                b.holds |= key != 0 && other.key() == key;
+            }
+            holding += b.holds ? 1 : 0;
+            if (b.stage == Stage.READY) {
+                weights += b.weight;
+                load += b.load;
+                held += b.held();
+            }
         }
-        return (double) lates / members.length;
+        lateShare = (double) lates / members.length;
+        jammed = doubtful * 3 > members.length && doubtful > 1;
     }
 
     /** Its messages are told to take long. */
@@ -453,13 +443,9 @@
     }
 
     /** Draws whether a doubtful backend gets work. */
-    private boolean sound(Backend b, long now) {
-        b.age(now);
-        if (b.bad < 0.25) {
-            return true;
-        }
+    private boolean sound(Backend b) {
         // Danger: a shared store that slows fails set-ups everywhere; blaming each backend would leave none.
-        if (jammed(now)) {
+        if (b.bad < 0.25 || jammed) {
             return true;
         }
         double yes = 1 + b.good;
@@ -469,16 +455,6 @@
         return draw >= 0.5;
     }
 
-    /** Over a third of the backends fail: what they share is to blame. */
-    private boolean jammed(long now) {
-        int doubtful = 0;
-        for (Backend b : members) {
-            b.age(now);
-            doubtful += b.bad >= 0.25 ? 1 : 0;
-        }
-        return doubtful * 3 > members.length && doubtful > 1;
-    }
-
     private void judge(Backend b, Outcome outcome, boolean wasEstablished, long now) {
         b.age(now);
         switch (outcome) {
@@ -486,8 +462,9 @@
             case NOT_CONNECTED -> b.bad++;
             case ERROR, TIMED_OUT -> {
                 b.bad++;
-                // Danger: repeats at once keep a jammed store jammed; set-ups are spaced until they succeed again.
-                if (jammed(now)) {
+                survey(0, now);
+                // Danger: repeats at once keep a jammed store jammed; set-ups are spaced until they succeed.
+                if (jammed) {
                     pace = Math.min(SECOND, Math.max(2 * pace, 50 * MS));
                     nextSlot = Math.max(nextSlot, now + pace / 2 + chance.nextLong(pace));
                 }
@@ -522,8 +499,8 @@
             }
             UseCase u = useCases[a.useCase];
             Backend before = backends.get(a.sentTo[d]);
-            if (u.effect.equals("binding") || u.effect.equals("fingerprinted") && (now - a.sentAt[d] >= u.window
-                    || u.scope.equals("zone") && before.zone != b.zone
+            if (u.effect.equals("binding") || u.effect.equals("fingerprinted")
+                    && (now - a.sentAt[d] >= u.window || u.scope.equals("zone") && before.zone != b.zone
                     || u.scope.equals("cell") && before.cell != b.cell)) {
                 return false;
             }
@@ -545,12 +522,8 @@
 
     /** This relay's part, in dispatches a nanosecond, of what a backend of that size and age may be sent. */
     private double coldRate(Backend b, long now) {
-        double weights = 0;
-        for (Backend m : members) {
-            weights += m.stage == Stage.READY ? m.weight : 0;
-        }
         ageEnded(now);
-        // Danger: dispatches counted in a storm of resets come back many times over and would inflate the budget.
+        // Danger: dispatches of a storm of resets come back many times over and would inflate the budget.
         double span = Math.min(now - bornAt, 10 * SECOND) + SECOND;
         return fallMultiple * warmth(b, now) * ended / span * b.weight / Math.max(weights, 1e-9);
     }
@@ -569,7 +542,7 @@
         return new Answer(Kind.SEND, b.id, timeOut(a, now));
     }
 
-    /** Leaves room for a further dispatch before the goal time while there is one, else before the cut-off. */
+    /** Leaves room for a further dispatch before the goal time. */
     private long timeOut(Association a, long now) {
         long left = a.cutOff - now;
         if (a.dispatches >= mostDispatches || pace > 0) {
@@ -583,7 +556,8 @@
             return Answer.NOTHING;
         }
         long pause = 50 * MS << Math.min(a.waits++, 5);
-        if (a.dispatches < mostDispatches && now + pause < a.cutOff - useCases[a.useCase].cutOff + useCases[a.useCase].goal) {
+        UseCase u = useCases[a.useCase];
+        if (a.dispatches < mostDispatches && now + pause < a.cutOff - u.cutOff + u.goal) {
             return new Answer(Kind.WAIT, 0, now + pause);
         }
         return giveUp(a);
@@ -593,7 +567,8 @@
     private Answer giveUp(Association a) {
         a.closed = true;
         UseCase u = useCases[a.useCase];
-        return u.effect.equals("retriable") || u.scope.equals("all") || a.neverRan() ? new Answer(Kind.SHED, 0, comeBack) : Answer.FORFEIT;
+        boolean harmless = u.effect.equals("retriable") || u.scope.equals("all") || a.neverRan();
+        return harmless ? new Answer(Kind.SHED, 0, comeBack) : Answer.FORFEIT;
     }
 
     // ---- books
@@ -609,9 +584,7 @@
             entry.backend = b.id;
             entry.open++;
             if (tracking.size() > MOST_ENTRIES) {
-                Iterator<Map.Entry<Long, Entry>> oldest = tracking.entrySet().iterator();
-                oldest.next();
-                oldest.remove();
+                tracking.remove(tracking.keySet().iterator().next());
             }
         }
     }
@@ -637,15 +610,6 @@
         }
     }
 
-    private void purge(long now) {
-        for (Iterator<Entry> it = tracking.values().iterator(); it.hasNext();) {
-            Entry entry = it.next();
-            if (entry.open == 0 && now - entry.endedAt >= ENTRY_AGE) {
-                it.remove();
-            }
-        }
-    }
-
     private boolean list(Backend b, Listed line, long now) {
         double weight = weighted && line.weight() > 0 ? line.weight() : 1;
         boolean changed = b.weight != weight || (b.stage == Stage.GONE) != (line.stage() == Stage.GONE);
--- a/src/main/java/ambertrestle/simhost/Instance.java
+++ b/src/main/java/ambertrestle/simhost/Instance.java
@@ -35,14 +35,15 @@
         carryOut(a, balancer.where(a, now), now);
     }
 
-    void settled(long id, int dispatch, Outcome outcome, boolean finished, long backend, long took, float[] report,
-            long now) {
+    void settled(long id, int dispatch, Outcome outcome, boolean finished, long backend, float[] report, long now) {
+        if (report != null) {
+            balancer.report(backend, report, now);
+        }
         Association a = held.get(id);
         if (a == null) {
-            balancer.lateOutcome(backend, outcome, report, now);
             return;
         }
-        carryOut(a, balancer.after(a, dispatch, outcome, finished, took, report, now), now);
+        carryOut(a, balancer.after(a, dispatch, outcome, finished, now), now);
         if (finished) {
             held.remove(id);
         }
--- a/src/main/java/ambertrestle/simhost/SimHost.java
+++ b/src/main/java/ambertrestle/simhost/SimHost.java
@@ -138,9 +138,15 @@
                 balancer.takenOver(a, b.backend(37), now);
             }
             case Wire.FIRED -> instance.fired(now);
-            case Wire.HEALTH -> balancer.probed(b.backend(3), outcome(b, 9), b.u32(10) * 1000, report(b, 14), now);
+            case Wire.HEALTH -> {
+                float[] report = report(b, 14);
+                balancer.probed(b.backend(3), outcome(b, 9), now);
+                if (report != null) {
+                    balancer.report(b.backend(3), report, now);
+                }
+            }
             case Wire.SETTLED -> instance.settled(b.u64(3), b.u8(12), outcome(b, 19), b.u8(11) != 0,
-                    b.backend(13), b.u32(20) * 1000, report(b, 24), now);
+                    b.backend(13), report(b, 24), now);
             case Wire.DISCOVERY -> roster(b, balancer, now);
             case Wire.UPDATE_OF -> {
                 Association a = instance.held.get(b.u64(3));
