--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -177,9 +177,13 @@
 
     /** Where to send this association, which has arrived or has waited as told. */
     public Answer where(Association a, long now) {
-        if (a.closed) {
+        if (a.closed || a.out()) {
             return Answer.NOTHING;
         }
+        // Danger: what can never be sent again would sit out its time; it is given up at once.
+        if (now >= a.cutOff || a.dispatches >= mostDispatches || !repeatable(a, null, now)) {
+            return giveUp(a);
+        }
         if (pace > 0 && now < nextSlot && a.slot == 0 && !a.midFlow) {
             if (nextSlot >= a.cutOff - useCases[a.useCase].cutOff / 4) {
                 return giveUp(a);
@@ -190,7 +194,7 @@
         }
         a.slot = 0;
         nextSlot = Math.max(nextSlot, now + pace);
-        Backend b = now < a.cutOff ? choose(a, now) : null;
+        Backend b = choose(a, now);
         return b != null ? send(a, b, now) : waitOrGiveUp(a, now);
     }
 
@@ -421,7 +425,7 @@
             }
         }
         lateShare = (double) lates / members.length;
-        jammed = doubtful * 3 > members.length && doubtful > 1;
+        jammed = doubtful * 3 > members.length && doubtful > 2;
     }
 
     /** Its messages are told to take long. */
@@ -480,31 +484,29 @@
 
     // ---- the one send, its gate and the giving up
 
+    /** Rule 2, no effect twice: whether it may be sent again, to b or, with null, to any backend at all. */
+    private boolean repeatable(Association a, Backend b, long now) {
+        UseCase u = useCases[a.useCase];
+        for (int d = 0; d < a.dispatches; d++) {
+            Backend before = backends.get(a.sentTo[d]);
+            if (a.fate[d] != Fate.NEVER_RAN && (u.effect.equals("binding") || u.effect.equals("fingerprinted")
+                    && (now - a.sentAt[d] >= u.window || b != null && (u.scope.equals("zone") && before.zone != b.zone
+                    || u.scope.equals("cell") && before.cell != b.cell)))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** The one place that every send passes: rules 2, 3 and 4 are kept here. */
     private boolean mayReach(Backend b, Association a, long now) {
-        if (a.closed || a.dispatches >= mostDispatches) {
+        if (a.closed || a.out() && !secondCopies || !repeatable(a, b, now)) {
             return false;
         }
         // Rule 3: nothing new past the grace.
         if (b.stage != Stage.READY && now - b.heardAt >= drainGrace / 2) {
             return false;
         }
-        // Rule 2: no effect twice.
-        for (int d = 0; d < a.dispatches; d++) {
-            if (a.fate[d] == Fate.NEVER_RAN) {
-                continue;
-            }
-            if (a.fate[d] == Fate.OUT && !secondCopies) {
-                return false;
-            }
-            UseCase u = useCases[a.useCase];
-            Backend before = backends.get(a.sentTo[d]);
-            if (u.effect.equals("binding") || u.effect.equals("fingerprinted")
-                    && (now - a.sentAt[d] >= u.window || u.scope.equals("zone") && before.zone != b.zone
-                    || u.scope.equals("cell") && before.cell != b.cell)) {
-                return false;
-            }
-        }
         // Rule 4: no cold backend pushed over.
         if (warmth(b, now) < 1) {
             double rate = coldRate(b, now);
@@ -552,12 +554,9 @@
     }
 
     private Answer waitOrGiveUp(Association a, long now) {
-        if (a.out()) {
-            return Answer.NOTHING;
-        }
         long pause = 50 * MS << Math.min(a.waits++, 5);
         UseCase u = useCases[a.useCase];
-        if (a.dispatches < mostDispatches && now + pause < a.cutOff - u.cutOff + u.goal) {
+        if (now + pause < a.cutOff - u.cutOff + u.goal) {
             return new Answer(Kind.WAIT, 0, now + pause);
         }
         return giveUp(a);
--- /dev/null
+++ b/src/test/java/ambertrestle/TroubleTest.java
@@ -0,0 +1,98 @@
+package ambertrestle;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ambertrestle.decide.Answer.Kind;
+import ambertrestle.decide.Outcome;
+import org.junit.jupiter.api.Test;
+
+class TroubleTest {
+    private final Scene s = new Scene();
+
+    @Test
+    void lateBackendIsPassedOverAndSomeLeaveIt() throws Exception {
+        s.roster("1 2");
+        for (int i = 0; i < 12; i++) {
+            s.open("c" + i, 77);
+        }
+        long home = s.held.get("c0").sentTo[0];
+        s.at(1000).say("messages on " + home + " take 150 ms");
+        s.balancer().delayNote(home, 150 * Scene.MS, s.now);
+        s.chores();
+        s.ask("whileLate", 77);
+        s.at(2000).say("messages on " + home + " take 20 ms");
+        s.balancer().delayNote(home, 20 * Scene.MS, s.now);
+        s.chores();
+        s.ask("again", 77);
+        s.matches("late");
+    }
+
+    /** Found on the first incidents: a fleet late all over strewed each group over every backend. */
+    @Test
+    void groupIsNotStrewnOverALateFleet() throws Exception {
+        s.roster("1 2 3 4 5 6");
+        for (long b = 1; b <= 6; b++) {
+            s.balancer().delayNote(b, 150 * Scene.MS, s.now);
+        }
+        s.say("messages take 150 ms everywhere");
+        s.ask("noPlace", 77);
+        for (int ms = 50; ms <= 400 && !s.held.get("noPlace").closed; ms += 50) {
+            s.at(ms).ask("noPlace");
+        }
+        s.matches("strewn");
+    }
+
+    /** Found on a busy standard day: a jammed store stayed jammed by repeats at once. */
+    @Test
+    void setUpsAreSpacedWhileTheyFailAllOver() throws Exception {
+        s.roster("1 2 3 4 5 6");
+        for (int i = 0; i < 5; i++) {
+            if (s.ask("f" + i, 100 + i).kind == Kind.SEND) {
+                s.after("f" + i, Outcome.ERROR, false);
+            }
+        }
+        s.matches("jam");
+    }
+
+    @Test
+    void hungBackendIsFoundAndNotForgotten() throws Exception {
+        s.roster("1 2 3 4 5 6 7 8");
+        int[] early = new int[2];
+        int[] late = new int[2];
+        long hung = 0;
+        for (int i = 0; i < 400; i++) {
+            s.at(i * 50);
+            long b = s.ask("h" + i, i + 1).backend;
+            hung = hung == 0 ? b : hung;
+            boolean fails = b == hung && i < 200;
+            (i < 200 ? early : late)[b == hung ? 1 : 0]++;
+            if (fails) {
+                s.after("h" + i, Outcome.TIMED_OUT, true);
+            } else {
+                s.stands("h" + i);
+                s.after("h" + i, Outcome.DONE, true);
+            }
+        }
+        s.trace.setLength(0);
+        s.say("while hung: " + early[1] + " to it, " + early[0] + " elsewhere");
+        s.say("afterwards: " + late[1] + " to it, " + late[0] + " elsewhere");
+        assertThat(early[1]).isLessThan(20);
+        assertThat(late[1]).isGreaterThan(10);
+        s.matches("hung");
+    }
+
+    @Test
+    void rosterIsAskedAgainWithGrowingWaits() throws Exception {
+        s.ticket.put("discovery", "on_request");
+        long last = 0;
+        for (int i = 0; i < 5; i++) {
+            s.chores();
+            s.balancer().rosterFailed(s.now);
+            long wait = s.chores().wakeAt - s.now;
+            assertThat(wait).isGreaterThan(last / 2);
+            last = wait;
+            s.now += wait;
+        }
+        s.matches("roster");
+    }
+}
