--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -293,7 +293,7 @@
         if (b == null) {
             return;
         }
-        boolean rising = delay >= b.delay || now - b.delayAt > 3 * SECOND;
+        boolean rising = delay * 4 >= b.delay * 3 || now - b.delayAt > 3 * SECOND;
         b.delay = delay * 3 > shortestGoal ? delay : 0;
         b.delayAt = now;
         if (rising && delay > shortestGoal) {
