--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -52,6 +52,9 @@
         long allowanceAt;
         /** Load of the open connections, where it is told. */
         double load;
+        /** What it held when its messages turned late, and when that was; 0 while never seen. */
+        double carries;
+        long lateAt;
         long delay;
         long delayAt = Long.MIN_VALUE / 2;
         int mark;
@@ -63,6 +66,10 @@
             this.hash = mix(id ^ 0x9e3779b97f4a7c15L);
         }
 
+        double crowd(double one) {
+            return one == 0 ? open.size() + pending : load + pending * one;
+        }
+
         int held() {
             return open.size() + pending;
         }
@@ -293,7 +300,13 @@
         if (b == null) {
             return;
         }
-        boolean rising = delay * 4 >= b.delay * 3 || now - b.delayAt > 3 * SECOND;
+        boolean rising = delay >= b.delay || now - b.delayAt > 3 * SECOND;
+        if (delay * 3 > shortestGoal) {
+            double crowd = b.crowd(load > 0 ? load / held : 0);
+            b.carries = !late(b, now) && b.carries > 0 ? (b.carries + crowd) / 2
+                    : b.carries == 0 ? crowd : Math.min(b.carries, crowd);
+            b.lateAt = now;
+        }
         b.delay = delay * 3 > shortestGoal ? delay : 0;
         b.delayAt = now;
         if (rising && delay > shortestGoal) {
@@ -373,6 +386,7 @@
                 // Danger: work sent to a fleet that is late all over keeps it late; it waits or is shed.
                 ready += b.stage == Stage.READY ? 1 : 0;
                 if (b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
+                        || b.crowd(load > 0 ? load / held : 0) >= limit(b, now)
                         || holding >= depth && !b.holds
                         || pass == 0 && (overfull(b, now) || !admitted(b, key, now) || !sound(b))) {
                     continue;
@@ -401,6 +415,11 @@
         return has > bound * held * one * part && has >= held * one * part + bound * one;
     }
 
+    /** Danger: a burst fills a backend long before its messages are told to be late; what it carried bounds it. */
+    private double limit(Backend b, long now) {
+        return b.carries == 0 ? Double.MAX_VALUE : b.carries * (1 + (double) (now - b.lateAt) / (10 * SECOND));
+    }
+
     /** Looks over the backends: what they hold, how they fare, who holds the key. */
     private void survey(long key, long now) {
         weights = 0;
