--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -125,7 +125,7 @@
     private long pace;
     private long nextSlot;
     /** What the last survey saw: of the ready ones, weight, load and connections; how many hold the key. */
-    private double weights, load, lateShare;
+    private double weights, load, lateShare, one;
     private int held, holding;
     /** Over a third of the backends fail set-ups: what they share is to blame. */
     private boolean jammed;
@@ -302,7 +302,7 @@
         }
         boolean rising = delay >= b.delay || now - b.delayAt > 3 * SECOND;
         if (delay * 3 > shortestGoal) {
-            double crowd = b.crowd(load > 0 ? load / held : 0);
+            double crowd = b.crowd(one);
             b.carries = !late(b, now) && b.carries > 0 ? (b.carries + crowd) / 2
                     : b.carries == 0 ? crowd : Math.min(b.carries, crowd);
             b.lateAt = now;
@@ -386,7 +386,7 @@
                 // Danger: work sent to a fleet that is late all over keeps it late; it waits or is shed.
                 ready += b.stage == Stage.READY ? 1 : 0;
                 if (b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
-                        || b.crowd(load > 0 ? load / held : 0) >= limit(b, now)
+                        || b.crowd(one) >= limit(b, now)
                         || holding >= depth && !b.holds
                         || pass == 0 && (overfull(b, now) || !admitted(b, key, now) || !sound(b))) {
                     continue;
@@ -405,14 +405,12 @@
 
     /** Holds over twice its part of this relay's load and two connections more, said so, or is late. */
     private boolean overfull(Backend b, long now) {
-        if (now < b.fullUntil || late(b, now)) {
-            return true;
-        }
-        double part = b.weight / Math.max(weights, 1e-9);
-        double one = load > 0 ? load / held : 1;
-        double has = load > 0 ? b.load + b.pending * one : b.held();
+        double unit = one == 0 ? 1 : one;
+        double fair = held * unit * b.weight / Math.max(weights, 1e-9);
         double bound = Math.max(1.25, 2 - 2 * lateShare);
-        return has > bound * held * one * part && has >= held * one * part + bound * one;
+        double has = b.crowd(one);
+        return now < b.fullUntil || late(b, now) || has >= limit(b, now)
+                || has > bound * fair && has >= fair + bound * unit;
     }
 
     /** Danger: a burst fills a backend long before its messages are told to be late; what it carried bounds it. */
@@ -444,6 +442,7 @@
             }
         }
         lateShare = (double) lates / members.length;
+        one = load > 0 ? load / held : 0;
         jammed = doubtful * 3 > members.length && doubtful > 2;
     }
 
