--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -415,7 +415,7 @@
 
     /** Danger: a burst fills a backend long before its messages are told to be late; what it carried bounds it. */
     private double limit(Backend b, long now) {
-        return b.carries == 0 ? Double.MAX_VALUE : b.carries * (1 + (double) (now - b.lateAt) / (10 * SECOND));
+        return b.carries == 0 ? Double.MAX_VALUE : b.carries * (1 + (double) (now - b.lateAt) / (20 * SECOND));
     }
 
     /** Looks over the backends: what they hold, how they fare, who holds the key. */
