--- a/src/main/java/ambertrestle/Main.java
+++ b/src/main/java/ambertrestle/Main.java
@@ -17,7 +17,8 @@
             System.exit(2);
         }
         try {
-            new SimHost(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out)).run();
+            FileOutputStream out = new FileOutputStream(FileDescriptor.out);
+            new SimHost(new FileInputStream(FileDescriptor.in), out).run();
         } catch (WireException e) {
             System.err.println("ambertrestle: " + e.getMessage());
             System.exit(1);
--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -3,6 +3,8 @@
 import ambertrestle.decide.Answer.Kind;
 import ambertrestle.decide.Association.Fate;
 import ambertrestle.decide.Listed.Stage;
+import ambertrestle.decide.UseCase.Effect;
+import ambertrestle.decide.UseCase.Scope;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -33,57 +35,6 @@
     /** Evidence about a backend halves in this time. */
     private static final long HALF_LIFE = 4 * SECOND;
 
-    /** All that is known of one backend. */
-    private static final class Backend {
-        final long id;
-        final long hash;
-        Stage stage = Stage.GONE;
-        long startedAt;
-        int cell, zone;
-        double weight = 1;
-        /** When this relay heard that it drains or is gone. */
-        long heardAt;
-        final ArrayList<Association> open = new ArrayList<>();
-        int pending;
-        double good, bad;
-        long evidenceAt, fullUntil;
-        /** Dispatches that the cold budget still allows, and when that was reckoned. */
-        double allowance;
-        long allowanceAt;
-        /** Load of the open connections, where it is told. */
-        double load;
-        /** What it held when its messages turned late, and when that was; 0 while never seen. */
-        double carries;
-        long lateAt;
-        long delay;
-        long delayAt = Long.MIN_VALUE / 2;
-        int mark;
-        /** Holds an open connection of the key in hand. */
-        boolean holds;
-
-        Backend(long id) {
-            this.id = id;
-            this.hash = mix(id ^ 0x9e3779b97f4a7c15L);
-        }
-
-        double crowd(double one) {
-            return one == 0 ? open.size() + pending : load + pending * one;
-        }
-
-        int held() {
-            return open.size() + pending;
-        }
-
-        void age(long now) {
-            if (now > evidenceAt) {
-                double keep = Math.pow(0.5, (double) (now - evidenceAt) / HALF_LIFE);
-                good *= keep;
-                bad *= keep;
-                evidenceAt = now;
-            }
-        }
-    }
-
     /** Where a key's established connections are. */
     private static final class Entry {
         long backend;
@@ -91,7 +42,6 @@
         long endedAt;
     }
 
-    private final Map<String, String> jobTicket;
     private final SplittableRandom chance;
     private final HashMap<Long, Backend> backends = new HashMap<>();
     /** Listed ready or draining, by id: the members of the Maglev table. */
@@ -103,8 +53,6 @@
     private final Chores chores = new Chores();
     private final List<Association> moves = new ArrayList<>();
 
-    private record UseCase(long goal, long cutOff, String effect, String scope, long window) {}
-
     private final UseCase[] useCases;
     private final int mostDispatches;
     private final boolean secondCopies, weighted;
@@ -131,29 +79,23 @@
     private boolean jammed;
 
     public Balancer(Map<String, String> jobTicket, long seed, long now) {
-        this.jobTicket = jobTicket;
         chance = new SplittableRandom(seed);
-        useCases = new UseCase[(int) number("useCases.count")];
+        useCases = new UseCase[(int) JobTicket.number(jobTicket, "useCases.count")];
         for (int u = 0; u < useCases.length; u++) {
-            String of = "useCases." + u + ".";
-            String effect = word(of + "effect", "retriable", "fingerprinted", "binding");
-            boolean marked = effect.equals("fingerprinted");
-            useCases[u] = new UseCase((long) number(of + "goalTime"), (long) number(of + "cutOff"), effect,
-                    marked ? word(of + "scope", "all", "zone", "cell") : "",
-                    marked ? (long) number(of + "window") : 0);
-        }
-        mostDispatches = (int) number("limits.dispatches");
+            useCases[u] = UseCase.read(jobTicket, "useCases." + u + ".");
+        }
+        mostDispatches = (int) JobTicket.number(jobTicket, "limits.dispatches");
         secondCopies = Boolean.parseBoolean(jobTicket.get("limits.secondCopies"));
-        drainGrace = (long) number("rules.drainGrace");
-        coldFrom = number("rules.coldFrom");
-        coldFor = (long) number("rules.cold");
-        fallMultiple = number("rules.fallMultiple");
-        fallFor = (long) number("rules.fall");
-        String weights = word("weights", "nominal", "rough", "none", "live");
+        drainGrace = (long) JobTicket.number(jobTicket, "rules.drainGrace");
+        coldFrom = JobTicket.number(jobTicket, "rules.coldFrom");
+        coldFor = (long) JobTicket.number(jobTicket, "rules.cold");
+        fallMultiple = JobTicket.number(jobTicket, "rules.fallMultiple");
+        fallFor = (long) JobTicket.number(jobTicket, "rules.fall");
+        String weights = JobTicket.word(jobTicket, "weights", "nominal", "rough", "none", "live");
         weighted = weights.equals("nominal") || weights.equals("rough");
-        watchDue = word("discovery", "pushed", "on_request").equals("on_request");
+        watchDue = JobTicket.word(jobTicket, "discovery", "pushed", "on_request").equals("on_request");
         boolean tells = Boolean.parseBoolean(jobTicket.get("limits.retryAfter"));
-        comeBack = tells ? (long) number("limits.maxRetryAfter") : 0;
+        comeBack = tells ? (long) JobTicket.number(jobTicket, "limits.maxRetryAfter") : 0;
         for (String part : jobTicket.getOrDefault("familyInfo.messageAim", "").split(",")) {
             shortestGoal = part.isEmpty() ? shortestGoal : Math.min(shortestGoal, Long.parseLong(part));
         }
@@ -162,24 +104,6 @@
         purgeAt = now + ENTRY_AGE;
     }
 
-    private double number(String name) {
-        String value = word(name);
-        try {
-            return Double.parseDouble(value);
-        } catch (NumberFormatException e) {
-            throw new IllegalArgumentException("job ticket: " + name + " is not a number: " + value);
-        }
-    }
-
-    private String word(String name, String... known) {
-        String value = jobTicket.get(name);
-        if (value == null || known.length > 0 && !Arrays.asList(known).contains(value)) {
-            throw new IllegalArgumentException("job ticket: " + name
-                    + (value == null ? " is missing" : " is not known: " + value));
-        }
-        return value;
-    }
-
     // ---- the three questions
 
     /** Where to send this association, which has arrived or has waited as told. */
@@ -192,7 +116,7 @@
             return giveUp(a);
         }
         if (pace > 0 && now < nextSlot && a.slot == 0 && !a.midFlow) {
-            if (nextSlot >= a.cutOff - useCases[a.useCase].cutOff / 4) {
+            if (nextSlot >= a.cutOff - useCases[a.useCase].cutOff() / 4) {
                 return giveUp(a);
             }
             a.slot = nextSlot;
@@ -247,7 +171,7 @@
         mark++;
         boolean changed = false;
         for (Listed line : lines) {
-            Backend b = backends.computeIfAbsent(line.backend(), Backend::new);
+            Backend b = backends.computeIfAbsent(line.backend(), this::unknown);
             b.mark = mark;
             changed |= list(b, line, now);
         }
@@ -272,7 +196,7 @@
     /** An open connection that was passing through when this relay started. */
     public void takenOver(Association a, long backend, long now) {
         a.sent(backend, now);
-        backends.computeIfAbsent(backend, Backend::new).pending++;
+        backends.computeIfAbsent(backend, this::unknown).pending++;
         hold(a, backends.get(backend), now);
     }
 
@@ -281,7 +205,7 @@
             return;
         }
         Backend b = backends.get(a.sentTo[dispatch]);
-        b.age(now);
+        age(b, now);
         b.good++;
         pace = pace < 50 * MS ? 0 : pace * 3 / 4;
         setUp += (took - setUp) / 16;
@@ -386,7 +310,7 @@
                 // Danger: work sent to a fleet that is late all over keeps it late; it waits or is shed.
                 ready += b.stage == Stage.READY ? 1 : 0;
                 if (b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
-                        || b.crowd(one) >= limit(b, now)
+                        || now < b.fullUntil || b.crowd(one) >= limit(b, now)
                         || holding >= depth && !b.holds
                         || pass == 0 && (overfull(b, now) || !admitted(b, key, now) || !sound(b))) {
                     continue;
@@ -413,9 +337,10 @@
                 || has > bound * fair && has >= fair + bound * unit;
     }
 
-    /** Danger: a burst fills a backend long before its messages are told to be late; what it carried bounds it. */
+    /** Danger: a burst fills a backend before its messages are told to be late; what it carried bounds it. */
     private double limit(Backend b, long now) {
-        return b.carries == 0 ? Double.MAX_VALUE : b.carries * (1 + (double) (now - b.lateAt) / (20 * SECOND));
+        double loosened = 1 + (double) (now - b.lateAt) / (20 * SECOND);
+        return b.carries == 0 ? Double.MAX_VALUE : b.carries * loosened;
     }
 
     /** Looks over the backends: what they hold, how they fare, who holds the key. */
@@ -427,7 +352,7 @@
         int lates = 0;
         int doubtful = 0;
         for (Backend b : members) {
-            b.age(now);
+            age(b, now);
             doubtful += b.bad >= 0.25 ? 1 : 0;
             lates += late(b, now) ? 1 : 0;
             b.holds = false;
@@ -446,6 +371,13 @@
         jammed = doubtful * 3 > members.length && doubtful > 2;
     }
 
+    private static void age(Backend b, long now) {
+        double keep = Math.pow(0.5, (double) (now - b.evidenceAt) / HALF_LIFE);
+        b.good *= keep;
+        b.bad *= keep;
+        b.evidenceAt = now;
+    }
+
     /** Its messages are told to take long. */
     private static boolean late(Backend b, long now) {
         return b.delay > 0 && now - b.delayAt < 3 * SECOND;
@@ -478,7 +410,7 @@
     }
 
     private void judge(Backend b, Outcome outcome, boolean wasEstablished, long now) {
-        b.age(now);
+        age(b, now);
         switch (outcome) {
             case FULL -> b.fullUntil = now + SECOND / 2;
             case NOT_CONNECTED -> b.bad++;
@@ -507,9 +439,11 @@
         UseCase u = useCases[a.useCase];
         for (int d = 0; d < a.dispatches; d++) {
             Backend before = backends.get(a.sentTo[d]);
-            if (a.fate[d] != Fate.NEVER_RAN && (u.effect.equals("binding") || u.effect.equals("fingerprinted")
-                    && (now - a.sentAt[d] >= u.window || b != null && (u.scope.equals("zone") && before.zone != b.zone
-                    || u.scope.equals("cell") && before.cell != b.cell)))) {
+            boolean apart = b != null && (u.scope() == Scope.ZONE && before.zone != b.zone
+                    || u.scope() == Scope.CELL && before.cell != b.cell);
+            boolean over = apart || now - a.sentAt[d] >= u.window();
+            if (a.fate[d] != Fate.NEVER_RAN
+                    && (u.effect() == Effect.BINDING || u.effect() == Effect.FINGERPRINTED && over)) {
                 return false;
             }
         }
@@ -568,13 +502,13 @@
         if (a.dispatches >= mostDispatches || pace > 0) {
             return left;
         }
-        return Math.min(left, Math.max(useCases[a.useCase].goal / 2, (long) (4 * setUp)));
+        return Math.min(left, Math.max(useCases[a.useCase].goal() / 2, (long) (4 * setUp)));
     }
 
     private Answer waitOrGiveUp(Association a, long now) {
         long pause = 50 * MS << Math.min(a.waits++, 5);
         UseCase u = useCases[a.useCase];
-        if (now + pause < a.cutOff - u.cutOff + u.goal) {
+        if (now + pause < a.cutOff - u.cutOff() + u.goal()) {
             return new Answer(Kind.WAIT, 0, now + pause);
         }
         return giveUp(a);
@@ -584,7 +518,7 @@
     private Answer giveUp(Association a) {
         a.closed = true;
         UseCase u = useCases[a.useCase];
-        boolean harmless = u.effect.equals("retriable") || u.scope.equals("all") || a.neverRan();
+        boolean harmless = u.effect() == Effect.RETRIABLE || u.scope() == Scope.ALL || a.neverRan();
         return harmless ? new Answer(Kind.SHED, 0, comeBack) : Answer.FORFEIT;
     }
 
@@ -627,6 +561,10 @@
         }
     }
 
+    private Backend unknown(long id) {
+        return new Backend(id, mix(id ^ 0x9e3779b97f4a7c15L));
+    }
+
     private boolean list(Backend b, Listed line, long now) {
         double weight = weighted && line.weight() > 0 ? line.weight() : 1;
         boolean changed = b.weight != weight || (b.stage == Stage.GONE) != (line.stage() == Stage.GONE);
--- /dev/null
+++ b/src/main/java/ambertrestle/decide/JobTicket.java
@@ -0,0 +1,26 @@
+package ambertrestle.decide;
+
+import java.util.Map;
+
+/** Reads values of the job ticket, which is a plain map; says by name what is missing or malformed. */
+final class JobTicket {
+    private JobTicket() {}
+
+    static double number(Map<String, String> jobTicket, String name) {
+        String value = word(jobTicket, name);
+        try {
+            return Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("job ticket: " + name + " is not a number: " + value);
+        }
+    }
+
+    static String word(Map<String, String> jobTicket, String name, String... known) {
+        String value = jobTicket.get(name);
+        if (value == null || known.length > 0 && !java.util.Arrays.asList(known).contains(value)) {
+            throw new IllegalArgumentException("job ticket: " + name
+                    + (value == null ? " is missing" : " is not known: " + value));
+        }
+        return value;
+    }
+}
--- a/src/main/java/ambertrestle/simhost/Instance.java
+++ b/src/main/java/ambertrestle/simhost/Instance.java
@@ -35,7 +35,8 @@
         carryOut(a, balancer.where(a, now), now);
     }
 
-    void settled(long id, int dispatch, Outcome outcome, boolean finished, long backend, float[] report, long now) {
+    void settled(long id, int dispatch, Outcome outcome, boolean finished, long backend, float[] report,
+            long now) {
         if (report != null) {
             balancer.report(backend, report, now);
         }
--- a/src/main/java/ambertrestle/simhost/SimHost.java
+++ b/src/main/java/ambertrestle/simhost/SimHost.java
@@ -49,11 +49,12 @@
                         : "frame " + frames + " has a length of " + length);
             }
             if (frame.capacity() < length) {
-                frame = sized((int) Math.max(length, Math.min(Integer.MAX_VALUE - 16L, frame.capacity() * 2L)));
+                frame = sized((int) length);
             }
             int read = in.readNBytes(frame.array(), 0, (int) length);
             if (read < length) {
-                throw new WireException("frame " + frames + " is cut short: " + read + " of " + length + " bytes");
+                throw new WireException("frame " + frames + " is cut short: " + read + " of " + length
+                        + " bytes");
             }
             frame.limit((int) length);
             answer(new Wire.Batch(frame));
@@ -71,7 +72,7 @@
         for (int i = 0; i < batch.records; i++) {
             int event = batch.open(i);
             int number = batch.u16(1);
-            Instance instance = last != null && last.number == number && !last.stopped ? last : instances.get(number);
+            Instance instance = last != null && last.number == number ? last : instances.get(number);
             if (event == Wire.UP) {
                 instance = new Instance(number, reply);
                 instances.put(number, instance);
--- a/src/main/java/ambertrestle/simhost/Wire.java
+++ b/src/main/java/ambertrestle/simhost/Wire.java
@@ -34,8 +34,8 @@
             clockUs = bytes.getLong(0);
             long count = bytes.getInt(8) & 0xffffffffL;
             if (12 + count * EVENT > bytes.limit()) {
-                throw new WireException("batch at clock " + clockUs + " names " + count + " records but holds "
-                        + (bytes.limit() - 12) / EVENT);
+                throw new WireException("batch at clock " + clockUs + " names " + count
+                        + " records but holds " + (bytes.limit() - 12) / EVENT);
             }
             records = (int) count;
             tail = 12 + records * EVENT;
@@ -99,7 +99,8 @@
         }
 
         String place() {
-            return "batch at clock " + clockUs + ", record " + index + " (event " + u8(0) + ", instance " + u16(1) + ")";
+            return "batch at clock " + clockUs + ", record " + index + " (event " + u8(0)
+                    + ", instance " + u16(1) + ")";
         }
     }
 
@@ -167,7 +168,8 @@
             while (tail.remaining() < bytes.length) {
                 tail = grown(tail, tail.capacity() * 2);
             }
-            record(code, instance).putInt(start() + fieldAt, tail.position()).putInt(start() + fieldAt + 4, bytes.length);
+            record(code, instance).putInt(start() + fieldAt, tail.position());
+            records.putInt(start() + fieldAt + 4, bytes.length);
             tail.put(bytes);
         }
 
@@ -181,7 +183,8 @@
         }
 
         private void backend(int offset, long backend) {
-            records.putInt(start() + offset, (int) backend).putShort(start() + offset + 4, (short) (backend >>> 32));
+            records.putInt(start() + offset, (int) backend);
+            records.putShort(start() + offset + 4, (short) (backend >>> 32));
         }
 
         /** The whole frame; valid until the next call. */
