--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -356,8 +356,9 @@
         double fair = held * unit * b.weight / Math.max(weights, 1e-9);
         double bound = Math.max(1.25, 2 - 2 * lateShare);
         double has = b.crowd(one);
-        return now < b.fullUntil || late(b, now) || now - b.reportAt < 3 * SECOND && b.report > 0.9 || has >= limit(b, now)
-                || has > bound * fair && has >= fair + bound * unit;
+        boolean told = now - b.reportAt < 3 * SECOND;
+        return now < b.fullUntil || late(b, now) || has >= limit(b, now)
+                || (told ? b.report > 0.9 : has > bound * fair && has >= fair + bound * unit);
     }
 
     /** Danger: a burst fills a backend before its messages are told to be late; what it carried bounds it. */
