--- a/src/main/java/ambertrestle/decide/Backend.java
+++ b/src/main/java/ambertrestle/decide/Backend.java
@@ -35,7 +35,6 @@
     /** Load over capacity as it reported it last. */
     double report;
     long reportAt = Long.MIN_VALUE / 2;
-    long probedAt = Long.MIN_VALUE / 2;
     /** Met on the walk in hand. */
     int mark;
     /** Holds an open connection of the key in hand. */
--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -72,9 +72,6 @@
     /** The time between two set-ups while set-ups fail all over, and the next that is free. */
     private long pace;
     private long nextSlot;
-    /** Where reports carry load over capacity, -1 nowhere; probes earned by an association, and in hand. */
-    private final int loadAt;
-    private double probesEach, probesInHand;
     /** What the last survey saw: of the ready ones, weight, load and connections; how many hold the key. */
     private double weights, load, lateShare, one;
     private int held, holding;
@@ -102,12 +99,6 @@
         for (String part : jobTicket.getOrDefault("familyInfo.messageAim", "").split(",")) {
             shortestGoal = part.isEmpty() ? shortestGoal : Math.min(shortestGoal, Long.parseLong(part));
         }
-        loadAt = Arrays.asList(jobTicket.getOrDefault("stats.fields", "").split(",")).indexOf("x0");
-        boolean pays = "probe".equals(jobTicket.get("stats.how")) && loadAt >= 0;
-        // Half a point at the most goes into probes.
-        if (pays && Boolean.parseBoolean(jobTicket.get("limits.mayProbe"))) {
-            probesEach = 0.005 / Math.max(0.0005, JobTicket.number(jobTicket, "prices.probe"));
-        }
         bornAt = now;
         endedAt = now;
         purgeAt = now + ENTRY_AGE;
@@ -166,13 +157,6 @@
             tracking.values().removeIf(e -> e.open == 0 && now - e.endedAt >= ENTRY_AGE);
             purgeAt = now + ENTRY_AGE / 4;
         }
-        for (int i = 0; i < members.length && probesInHand >= 1; i++) {
-            if (now - members[i].probedAt >= SECOND) {
-                members[i].probedAt = now;
-                probesInHand--;
-                chores.probes.add(members[i].id);
-            }
-        }
         chores.moves.addAll(moves);
         moves.clear();
         chores.wakeAt = Math.min(purgeAt, watchAt);
@@ -279,13 +263,7 @@
     public void probed(long backend, Outcome outcome, long now) {}
 
     /** A load report: values in the order of the job ticket's stats.fields. */
-    public void report(long backend, float[] values, long now) {
-        Backend b = backends.get(backend);
-        if (b != null && loadAt >= 0 && loadAt < values.length) {
-            b.report = values[loadAt];
-            b.reportAt = now;
-        }
-    }
+    public void report(long backend, float[] values, long now) {}
 
     public void clientLeft(Association a, long now) {
         a.closed = true;
@@ -304,7 +282,6 @@
             return null;
         }
         survey(key, now);
-        probesInHand = Math.min(members.length, probesInHand + probesEach);
         Entry entry = key == 0 ? null : tracking.get(key);
         Backend known = entry == null ? null : backends.get(entry.backend);
         if (known != null && known.stage == Stage.READY && !a.tried(known.id) && sound(known)
@@ -356,9 +333,8 @@
         double fair = held * unit * b.weight / Math.max(weights, 1e-9);
         double bound = Math.max(1.25, 2 - 2 * lateShare);
         double has = b.crowd(one);
-        boolean told = now - b.reportAt < 3 * SECOND;
         return now < b.fullUntil || late(b, now) || has >= limit(b, now)
-                || (told ? b.report > 0.9 : has > bound * fair && has >= fair + bound * unit);
+                || has > bound * fair && has >= fair + bound * unit;
     }
 
     /** Danger: a burst fills a backend before its messages are told to be late; what it carried bounds it. */
