--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -233,7 +233,7 @@
         }
         b.delay = delay * 3 > shortestGoal ? delay : 0;
         b.delayAt = now;
-        if (rising && delay > shortestGoal && pace == 0) {
+        if (rising && delay > 2 * shortestGoal) {
             moveOff(b, now);
         }
     }
