--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -33,7 +33,6 @@
     private static final int MOST_ENTRIES = 1 << 16;
     private static final long ENTRY_AGE = 60 * SECOND;
     /** Evidence about a backend halves in this time. */
-    private static final double DRAIN = 0.15;
     private static final long HALF_LIFE = 4 * SECOND;
 
     /** Where a key's established connections are. */
@@ -225,8 +224,7 @@
         if (b == null) {
             return;
         }
-        long since = now - b.delayAt > 3 * SECOND ? SECOND : Math.max(SECOND / 4, now - b.delayAt);
-        double growth = (double) (delay - b.delay) / since;
+        boolean rising = delay >= b.delay || now - b.delayAt > 3 * SECOND;
         if (delay * 3 > shortestGoal) {
             double crowd = b.crowd(one);
             b.carries = !late(b, now) && b.carries > 0 ? (b.carries + crowd) / 2
@@ -235,37 +233,30 @@
         }
         b.delay = delay * 3 > shortestGoal ? delay : 0;
         b.delayAt = now;
-        if (growth >= 0 && delay > shortestGoal) {
-            moveOff(b, DRAIN + growth / (1 + growth));
+        if (rising && delay > shortestGoal) {
+            moveOff(b, now);
         }
     }
 
-    /** Danger: what piles up makes every connection there late. What comes in over what is done must leave. */
-    private void moveOff(Backend b, double share) {
-        double excess = share * (one == 0 ? b.open.size() : b.load);
-        while (excess > 0) {
-            Association best = null;
-            Association least = null;
+    /** Danger: what piles up on an overloaded backend makes every connection there late; some must leave. */
+    private void moveOff(Backend b, long now) {
+        int some = (int) (b.open.size() / 6.0 + chance.nextDouble());
+        for (int n = 0; n < some; n++) {
+            Association heaviest = null;
             boolean guests = false;
             for (Association a : b.open) {
-                double load = one == 0 ? 1 : a.load;
                 boolean guest = table[slot(a)] != b;
-                if (!a.moved && load <= excess && (best == null || guest && !guests
-                        || guest == guests && a.load > best.load)) {
+                boolean better = heaviest == null || guest && !guests;
+                if (!a.moved && (better || guest == guests && a.load > heaviest.load)) {
                     guests = guest;
-                    best = a;
+                    heaviest = a;
                 }
-                least = !a.moved && (least == null || a.load < least.load) ? a : least;
             }
-            if (best == null && least != null && chance.nextDouble() * (one == 0 ? 1 : least.load) < excess) {
-                best = least;
-            }
-            if (best == null) {
+            if (heaviest == null) {
                 return;
             }
-            excess -= one == 0 ? 1 : best.load;
-            best.moved = true;
-            moves.add(best);
+            heaviest.moved = true;
+            moves.add(heaviest);
         }
     }
 
