--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -247,7 +247,7 @@
             for (Association a : b.open) {
                 boolean guest = table[slot(a)] != b;
                 boolean better = heaviest == null || guest && !guests;
-                if (!a.moved && (better || guest == guests && a.load > heaviest.load)) {
+                if (!a.moved && (better || guest == guests && dear(a) > dear(heaviest))) {
                     guests = guest;
                     heaviest = a;
                 }
@@ -260,6 +260,10 @@
         }
     }
 
+    private double dear(Association a) {
+        return a.load / useCases[a.useCase].benefit();
+    }
+
     public void probed(long backend, Outcome outcome, long now) {}
 
     /** A load report: values in the order of the job ticket's stats.fields. */
