--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -247,7 +247,7 @@
             for (Association a : b.open) {
                 boolean guest = table[slot(a)] != b;
                 boolean better = heaviest == null || guest && !guests;
-                if (!a.moved && (better || guest == guests && dear(a) > dear(heaviest))) {
+                if (!a.moved && (better || guest == guests && a.load > heaviest.load)) {
                     guests = guest;
                     heaviest = a;
                 }
@@ -260,10 +260,6 @@
         }
     }
 
-    private double dear(Association a) {
-        return a.load / useCases[a.useCase].benefit();
-    }
-
     public void probed(long backend, Outcome outcome, long now) {}
 
     /** A load report: values in the order of the job ticket's stats.fields. */
@@ -510,7 +506,7 @@
     }
 
     private Answer waitOrGiveUp(Association a, long now) {
-        long pause = 50 * MS << Math.min(a.waits++, 5);
+        long pause = 25 * MS;
         UseCase u = useCases[a.useCase];
         if (now + pause < a.cutOff - u.cutOff() + u.goal()) {
             return new Answer(Kind.WAIT, 0, now + pause);
--- a/src/main/java/ambertrestle/decide/UseCase.java
+++ b/src/main/java/ambertrestle/decide/UseCase.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /** What the job ticket says of one use case. Times in nanoseconds; scope and window for fingerprinted ones. */
-record UseCase(long goal, long cutOff, double benefit, Effect effect, Scope scope, long window) {
+record UseCase(long goal, long cutOff, Effect effect, Scope scope, long window) {
     enum Effect { RETRIABLE, FINGERPRINTED, BINDING }
 
     /** The backends that discard each other's repeats. */
@@ -15,8 +15,7 @@
                 "binding").toUpperCase(Locale.ROOT));
         boolean marked = effect == Effect.FINGERPRINTED;
         return new UseCase((long) JobTicket.number(jobTicket, of + "goalTime"),
-                (long) JobTicket.number(jobTicket, of + "cutOff"),
-                JobTicket.number(jobTicket, of + "benefit"), effect,
+                (long) JobTicket.number(jobTicket, of + "cutOff"), effect,
                 marked ? Scope.valueOf(JobTicket.word(jobTicket, of + "scope", "all", "zone", "cell")
                         .toUpperCase(Locale.ROOT)) : Scope.NONE,
                 marked ? (long) JobTicket.number(jobTicket, of + "window") : 0);
