--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -73,7 +73,7 @@
     private long pace;
     private long nextSlot;
     /** What the last survey saw: of the ready ones, weight, load and connections; how many hold the key. */
-    private double weights, load, lateShare, one;
+    private double weights, warm, load, lateShare, one;
     private int held, holding;
     /** Over a third of the backends fail set-ups: what they share is to blame. */
     private boolean jammed;
@@ -290,7 +290,7 @@
         }
         // Danger: every backend that holds any of a group pays for it; one strewn over all sinks them all.
         double share = entry == null || held == 0 ? 0 : (double) entry.open / held;
-        int depth = (lateShare * 3 > 1 ? 1 : 2) + (int) Math.ceil(share * members.length);
+        int depth = (lateShare * 3 > 1 ? 1 : 2) + (int) Math.ceil(share * warm);
         int walk = lateShare * 4 > 1 ? depth : members.length;
         int slot = slot(a);
         for (int pass = 0; pass < 2; pass++) {
@@ -330,7 +330,7 @@
     /** Holds over twice its part of this relay's load and two connections more, said so, or is late. */
     private boolean overfull(Backend b, long now) {
         double unit = one == 0 ? 1 : one;
-        double fair = held * unit * b.weight / Math.max(weights, 1e-9);
+        double fair = held * unit * b.weight * warmth(b, now) / Math.max(weights, 1e-9);
         double bound = Math.max(1.25, 2 - 2 * lateShare);
         double has = b.crowd(one);
         return now < b.fullUntil || late(b, now) || has >= limit(b, now)
@@ -349,6 +349,7 @@
         load = 0;
         held = 0;
         holding = 0;
+        warm = 0;
         int lates = 0;
         int doubtful = 0;
         for (Backend b : members) {
@@ -361,12 +362,14 @@
             }
             holding += b.holds ? 1 : 0;
             if (b.stage == Stage.READY) {
-                weights += b.weight;
+                weights += b.weight * warmth(b, now);
+                warm += warmth(b, now);
                 load += b.load;
                 held += b.held();
             }
         }
-        lateShare = (double) lates / members.length;
+        // Danger: a fleet that grows holds many fresh ones that carry nothing yet; they must not look like room.
+        lateShare = lates / Math.max(warm, 1);
         one = load > 0 ? load / held : 0;
         jammed = doubtful * 3 > members.length && doubtful > 2;
     }
@@ -506,7 +509,7 @@
     }
 
     private Answer waitOrGiveUp(Association a, long now) {
-        long pause = 25 * MS;
+        long pause = 50 * MS << Math.min(a.waits++, 5);
         UseCase u = useCases[a.useCase];
         if (now + pause < a.cutOff - u.cutOff() + u.goal()) {
             return new Answer(Kind.WAIT, 0, now + pause);
