--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -482,7 +482,7 @@
         ageEnded(now);
         // Danger: dispatches of a storm of resets come back many times over and would inflate the budget.
         double span = Math.min(now - bornAt, 10 * SECOND) + SECOND;
-        return fallMultiple * warmth(b, now) * ended / span * b.weight / Math.max(weights, 1e-9);
+        return 2 * fallMultiple * warmth(b, now) * ended / span * b.weight / Math.max(weights, 1e-9);
     }
 
     private void ageEnded(long now) {
