--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -482,7 +482,17 @@
         ageEnded(now);
         // Danger: dispatches of a storm of resets come back many times over and would inflate the budget.
         double span = Math.min(now - bornAt, 10 * SECOND) + SECOND;
-        return 2 * fallMultiple * warmth(b, now) * ended / span * b.weight / Math.max(weights, 1e-9);
+        return fallMultiple * warmth(b, now) * room() * ended / span * b.weight / Math.max(weights, 1e-9);
+    }
+
+    /** How many times the mean the fullest backend in time carries: what a backend of like size takes when full. */
+    private double room() {
+        double most = 0;
+        for (Backend m : members) {
+            double crowd = m.delay == 0 && m.stage == Stage.READY ? m.crowd(one) : 0;
+            most = Math.max(most, crowd / m.weight);
+        }
+        return Math.max(1, Math.min(3, most * weights / Math.max(one == 0 ? held : held * one, 1e-9)));
     }
 
     private void ageEnded(long now) {
