--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -225,7 +225,7 @@
             return;
         }
         boolean rising = delay >= b.delay || now - b.delayAt > 3 * SECOND;
-        if (delay * 3 > shortestGoal) {
+        if (rising && delay * 3 > shortestGoal) {
             double crowd = b.crowd(one);
             b.carries = !late(b, now) && b.carries > 0 ? (b.carries + crowd) / 2
                     : b.carries == 0 ? crowd : Math.min(b.carries, crowd);
