--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -225,7 +225,7 @@
             return;
         }
         boolean rising = delay >= b.delay || now - b.delayAt > 3 * SECOND;
-        if (rising && delay * 3 > shortestGoal) {
+        if (delay * 3 > shortestGoal) {
             double crowd = b.crowd(one);
             b.carries = !late(b, now) && b.carries > 0 ? (b.carries + crowd) / 2
                     : b.carries == 0 ? crowd : Math.min(b.carries, crowd);
@@ -240,6 +240,7 @@
 
     /** Danger: what piles up on an overloaded backend makes every connection there late; some must leave. */
     private void moveOff(Backend b, long now) {
+        List<Association> left = new ArrayList<>();
         int some = (int) (b.open.size() / 6.0 + chance.nextDouble());
         for (int n = 0; n < some; n++) {
             Association heaviest = null;
@@ -253,11 +254,17 @@
                 }
             }
             if (heaviest == null) {
-                return;
+                break;
             }
             heaviest.moved = true;
-            moves.add(heaviest);
+            Association again = new Association(0, heaviest.useCase, 0, heaviest.client, heaviest.group, 0, 0, false, true);
+            if (choose(again, now) != b && choose(again, now) != null) {
+                moves.add(heaviest);
+            } else {
+                left.add(heaviest);
+            }
         }
+        left.forEach(a -> a.moved = false);
     }
 
     public void probed(long backend, Outcome outcome, long now) {}
