--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -225,7 +225,7 @@
             return;
         }
         boolean rising = delay >= b.delay || now - b.delayAt > 3 * SECOND;
-        if (delay * 3 > shortestGoal) {
+        if (rising && delay * 3 > shortestGoal) {
             double crowd = b.crowd(one);
             b.carries = !late(b, now) && b.carries > 0 ? (b.carries + crowd) / 2
                     : b.carries == 0 ? crowd : Math.min(b.carries, crowd);
@@ -240,7 +240,6 @@
 
     /** Danger: what piles up on an overloaded backend makes every connection there late; some must leave. */
     private void moveOff(Backend b, long now) {
-        List<Association> left = new ArrayList<>();
         int some = (int) (b.open.size() / 6.0 + chance.nextDouble());
         for (int n = 0; n < some; n++) {
             Association heaviest = null;
@@ -254,17 +253,11 @@
                 }
             }
             if (heaviest == null) {
-                break;
+                return;
             }
             heaviest.moved = true;
-            Association again = new Association(0, heaviest.useCase, 0, heaviest.client, heaviest.group, 0, 0, false, true);
-            if (choose(again, now) != b && choose(again, now) != null) {
-                moves.add(heaviest);
-            } else {
-                left.add(heaviest);
-            }
+            moves.add(heaviest);
         }
-        left.forEach(a -> a.moved = false);
     }
 
     public void probed(long backend, Outcome outcome, long now) {}
@@ -297,7 +290,7 @@
         }
         // Danger: every backend that holds any of a group pays for it; one strewn over all sinks them all.
         double share = entry == null || held == 0 ? 0 : (double) entry.open / held;
-        int depth = (lateShare * 3 > 1 ? 1 : 2) + (int) Math.ceil(share * warm);
+        int depth = (lateShare * 3 > 1 ? 1 : 2) + (int) Math.round(share * warm);
         int walk = lateShare * 4 > 1 ? depth : members.length;
         int slot = slot(a);
         for (int pass = 0; pass < 2; pass++) {
