--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -225,7 +225,7 @@
             return;
         }
         boolean rising = delay >= b.delay || now - b.delayAt > 3 * SECOND;
-        if (rising && delay * 3 > shortestGoal) {
+        if (delay * 3 > shortestGoal) {
             double crowd = b.crowd(one);
             b.carries = !late(b, now) && b.carries > 0 ? (b.carries + crowd) / 2
                     : b.carries == 0 ? crowd : Math.min(b.carries, crowd);
@@ -290,7 +290,8 @@
         }
         // Danger: every backend that holds any of a group pays for it; one strewn over all sinks them all.
         double share = entry == null || held == 0 ? 0 : (double) entry.open / held;
-        int depth = (lateShare * 3 > 1 ? 1 : 2) + (int) Math.round(share * warm);
+        int depth = (lateShare * 3 > 1 ? 1 : 2) + (int) Math.ceil(share * warm);
+        depth = a.group == 0 ? members.length : depth;
         int walk = lateShare * 4 > 1 ? depth : members.length;
         int slot = slot(a);
         for (int pass = 0; pass < 2; pass++) {
