--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -290,7 +290,7 @@
         }
         // Danger: every backend that holds any of a group pays for it; one strewn over all sinks them all.
         double share = entry == null || held == 0 ? 0 : (double) entry.open / held;
-        int depth = (lateShare * 3 > 1 ? 1 : 2) + (int) Math.round(share * warm);
+        int depth = lateShare * 3 > 1 ? 1 + (int) (share * warm) : 2 + (int) Math.round(share * warm);
         depth = a.group == 0 ? members.length : depth;
         int walk = lateShare * 4 > 1 ? depth : members.length;
         int slot = slot(a);
