--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -353,9 +353,11 @@
         warm = 0;
         int lates = 0;
         int doubtful = 0;
+        int judged = 0;
         for (Backend b : members) {
             age(b, now);
             doubtful += b.bad >= 0.25 ? 1 : 0;
+            judged += b.bad + b.good >= 0.25 ? 1 : 0;
             lates += late(b, now) ? 1 : 0;
             b.holds = false;
             for (Association other : b.open) {
@@ -372,7 +374,7 @@
         // Danger: a fleet that grows holds many fresh ones that carry nothing yet; they must not look like room.
         lateShare = lates / Math.max(warm, 1);
         one = load > 0 ? load / held : 0;
-        jammed = doubtful * 3 > members.length && doubtful > 2;
+        jammed = doubtful * 2 > judged && doubtful > 2;
     }
 
     private static void age(Backend b, long now) {
