--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -371,7 +371,7 @@
                 held += b.held();
             }
         }
-        // Danger: a fleet that grows holds many fresh ones that carry nothing yet; they must not look like room.
+        // Danger: fresh backends that carry nothing yet must not look like room in a fleet that grows.
         lateShare = lates / Math.max(warm, 1);
         one = load > 0 ? load / held : 0;
         jammed = doubtful * 2 > judged && doubtful > 2;
@@ -488,7 +488,7 @@
         return fallMultiple * warmth(b, now) * room() * ended / span * b.weight / Math.max(weights, 1e-9);
     }
 
-    /** How many times the mean the fullest backend in time carries: what a backend of like size takes when full. */
+    /** How many times the mean the fullest backend in time carries: a fair guess of what others could. */
     private double room() {
         double most = 0;
         for (Backend m : members) {
--- a/src/main/java/ambertrestle/decide/UseCase.java
+++ b/src/main/java/ambertrestle/decide/UseCase.java
@@ -3,7 +3,7 @@
 import java.util.Locale;
 import java.util.Map;
 
-/** What the job ticket says of one use case. Times in nanoseconds; scope and window for fingerprinted ones. */
+/** What the job ticket says of one use case. In nanoseconds; scope and window for fingerprinted ones. */
 record UseCase(long goal, long cutOff, Effect effect, Scope scope, long window) {
     enum Effect { RETRIABLE, FINGERPRINTED, BINDING }
 
--- a/src/test/java/ambertrestle/RulesTest.java
+++ b/src/test/java/ambertrestle/RulesTest.java
@@ -33,6 +33,9 @@
     @Test
     void oneFinalAnswerAndNothingAfterIt() throws Exception {
         s.roster("1 2 3 4 5 6 7 8 9 10 11 12");
+        for (int i = 0; i < 8; i++) {
+            s.open("well" + i, 100 + i);
+        }
         s.ask("tried", 5);
         for (int i = 0; i < 4; i++) {
             s.after("tried", Outcome.ERROR, false);
@@ -60,7 +63,7 @@
             s.balancer().after(s.held.get(name), 0, Outcome.RESET, true, s.now);
         }
         s.trace.setLength(0);
-        s.say("in 3 s of storm the cold backend got " + storm[3] + ", the warm ones " + (storm[1] + storm[2]));
+        s.say("in 3 s of storm: cold " + storm[3] + ", warm " + (storm[1] + storm[2]));
         s.matches("cold");
     }
 }
--- a/src/test/java/ambertrestle/Scene.java
+++ b/src/test/java/ambertrestle/Scene.java
@@ -32,8 +32,8 @@
     Scene() {
         String lines = "discovery=pushed weights=nominal relays=1 useCases.count=3 limits.dispatches=4 "
                 + "limits.secondCopies=false limits.retryAfter=true limits.maxRetryAfter=1500000000 "
-                + "rules.drainGrace=1000000000 rules.coldFrom=0.2 rules.cold=10000000000 rules.fallMultiple=3 "
-                + "rules.fall=3000000000 familyInfo.messageAim=100000000 ";
+                + "rules.drainGrace=1000000000 rules.coldFrom=0.2 rules.cold=10000000000 "
+                + "rules.fallMultiple=3 rules.fall=3000000000 familyInfo.messageAim=100000000 ";
         String[] effects = {"retriable", "fingerprinted", "binding"};
         for (int u = 0; u < 3; u++) {
             lines += "useCases.U.goalTime=400000000 useCases.U.cutOff=2000000000 useCases.U.scope=zone "
@@ -70,7 +70,7 @@
             String[] begun = stage[0].split("@");
             String[] size = begun[0].split("\\*");
             int id = Integer.parseInt(size[0]);
-            list.add(new Listed(id, stage.length > 1 ? Listed.Stage.valueOf(stage[1].toUpperCase()) : Listed.Stage.READY,
+            list.add(new Listed(id, Listed.Stage.valueOf(stage.length > 1 ? stage[1].toUpperCase() : "READY"),
                     begun.length > 1 ? start + Long.parseLong(begun[1]) * MS : 0, 0,
                     size.length > 1 ? Double.parseDouble(size[1]) : 1, id % 2, 0));
         }
@@ -80,7 +80,8 @@
 
     /** Asks where for a new association of the group. */
     Answer ask(String name, long group, int useCase, boolean midFlow) {
-        held.put(name, new Association(++ids, useCase, 0, 1000 + ids, group, now + 2000 * MS, 0, midFlow, false));
+        long client = group == 0 ? 0 : 1001 + ids;
+        held.put(name, new Association(++ids, useCase, 0, client, group, now + 2000 * MS, 0, midFlow, false));
         return ask(name);
     }
 
--- a/src/test/java/ambertrestle/SimHostTest.java
+++ b/src/test/java/ambertrestle/SimHostTest.java
@@ -52,7 +52,8 @@
                 .replaceAll("(goalTime|cutOff|window|messageAim|maxRetryAfter|drainGrace|cold|fall)$", "$1Us")
                 .replace(".effect", ".repeat").replace(".scope", ".dedupScope")).append('=')
                 .append(value.replaceAll("000$", "").replace("retriable", "idempotent")
-                        .replace("fingerprinted", "deduplicated").replace("binding", "at_most_once")).append('\n'));
+                        .replace("fingerprinted", "deduplicated").replace("binding", "at_most_once"))
+                .append('\n'));
         return text.toString();
     }
 
@@ -82,8 +83,9 @@
 
     @Test
     void badSettingsAreNamedInACrash() throws Exception {
-        String reply = reply(up(settings().replaceAll("guarantees.drainGraceUs=\\d+", "guarantees.drainGraceUs=soon")));
-        assertThat(new String(bytes(reply), StandardCharsets.UTF_8)).contains("rules.drainGrace is not a number: soon");
+        String reply = reply(up(settings().replaceAll("(drainGraceUs)=\\d+", "$1=soon")));
+        assertThat(new String(bytes(reply), StandardCharsets.UTF_8))
+                .contains("rules.drainGrace is not a number: soon");
     }
 
     @Test
--- a/src/test/java/ambertrestle/TroubleTest.java
+++ b/src/test/java/ambertrestle/TroubleTest.java
@@ -42,10 +42,10 @@
         s.matches("strewn");
     }
 
-    /** Found on a busy standard day: a jammed store stayed jammed by repeats at once. */
+    /** Found on a busy day (repeats at once kept a store jammed) and an incident (few backends seen hid it). */
     @Test
     void setUpsAreSpacedWhileTheyFailAllOver() throws Exception {
-        s.roster("1 2 3 4 5 6");
+        s.roster("1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20");
         for (int i = 0; i < 5; i++) {
             if (s.ask("f" + i, 100 + i).kind == Kind.SEND) {
                 s.after("f" + i, Outcome.ERROR, false);
@@ -54,6 +54,23 @@
         s.matches("jam");
     }
 
+    /** Found on an incident: a burst filled backends long before their messages were told to be late. */
+    @Test
+    void backendIsBoundByWhatItHeldWhenLate() throws Exception {
+        s.roster("1 2");
+        for (int i = 0; i < 6; i++) {
+            s.open("c" + i, 77);
+        }
+        long home = s.held.get("c0").sentTo[0];
+        s.balancer().delayNote(home, 50 * Scene.MS, s.now);
+        s.at(500).say("late with 6, then in time again");
+        s.balancer().delayNote(home, 10 * Scene.MS, s.now);
+        for (int i = 0; i < 2; i++) {
+            s.open("at500ms" + i, 77);
+        }
+        s.matches("bound");
+    }
+
     @Test
     void hungBackendIsFoundAndNotForgotten() throws Exception {
         s.roster("1 2 3 4 5 6 7 8");
