--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -340,7 +340,8 @@
 
     /** Danger: a burst fills a backend before its messages are told to be late; what it carried bounds it. */
     private double limit(Backend b, long now) {
-        double loosened = 1 + (double) (now - b.lateAt) / (20 * SECOND);
+        double since = (double) (now - b.lateAt) / (10 * SECOND);
+        double loosened = 1 + since / 2 + since * since;
         return b.carries == 0 ? Double.MAX_VALUE : b.carries * loosened;
     }
 
