--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -52,6 +52,8 @@
     private int mark;
     private final Chores chores = new Chores();
     private final List<Association> moves = new ArrayList<>();
+    private final List<String> notes = new ArrayList<>();
+    private long notedAt = Long.MIN_VALUE / 2;
 
     private final UseCase[] useCases;
     private final int mostDispatches;
@@ -157,6 +159,8 @@
             tracking.values().removeIf(e -> e.open == 0 && now - e.endedAt >= ENTRY_AGE);
             purgeAt = now + ENTRY_AGE / 4;
         }
+        chores.log.addAll(notes);
+        notes.clear();
         chores.moves.addAll(moves);
         moves.clear();
         chores.wakeAt = Math.min(purgeAt, watchAt);
@@ -188,6 +192,7 @@
     }
 
     public void rosterFailed(long now) {
+        note("roster call failed, asking again", now);
         // Danger: relays that ask again in step keep the roster service full and all of them fail again.
         long base = 200 * MS << Math.min(watchFailures++, 4);
         watchAt = now + base / 2 + chance.nextLong(base);
@@ -257,6 +262,7 @@
             }
             heaviest.moved = true;
             moves.add(heaviest);
+            note("a backend is late, connections leave it", now);
         }
     }
 
@@ -284,8 +290,10 @@
         survey(key, now);
         Entry entry = key == 0 ? null : tracking.get(key);
         Backend known = entry == null ? null : backends.get(entry.backend);
-        if (known != null && known.stage == Stage.READY && !a.tried(known.id) && sound(known)
-                && !overfull(known, now) && mayReach(known, a, now)) {
+        // Danger: an open connection sent elsewhere is reset, so a mid-flow hit is not passed over.
+        boolean open = a.midFlow && a.dispatches == 0;
+        if (known != null && known.stage == Stage.READY && !a.tried(known.id)
+                && (open || sound(known) && !overfull(known, now)) && mayReach(known, a, now)) {
             return known;
         }
         // Danger: every backend that holds any of a group pays for it; one strewn over all sinks them all.
@@ -305,7 +313,7 @@
                 }
                 b.mark = mark;
                 met++;
-                if (met == 1 && a.midFlow && a.dispatches == 0 && mayReach(b, a, now)) {
+                if (met == 1 && open && mayReach(b, a, now)) {
                     return b;
                 }
                 // Danger: work sent to a fleet that is late all over keeps it late; it waits or is shed.
@@ -426,6 +434,7 @@
                 survey(0, now);
                 // Danger: repeats at once keep a jammed store jammed; set-ups are spaced until they succeed.
                 if (jammed) {
+                    note("set-ups fail all over, spacing them", now);
                     pace = Math.min(SECOND, Math.max(2 * pace, 50 * MS));
                     nextSlot = Math.max(nextSlot, now + pace / 2 + chance.nextLong(pace));
                 }
@@ -541,6 +550,14 @@
 
     // ---- books
 
+    /** Few lines: one in five seconds at the most. */
+    private void note(String line, long now) {
+        if (now - notedAt >= 5 * SECOND) {
+            notedAt = now;
+            notes.add(line);
+        }
+    }
+
     private void hold(Association a, Backend b, long now) {
         a.established = true;
         b.pending--;
