--- a/src/main/java/ambertrestle/decide/Backend.java
+++ b/src/main/java/ambertrestle/decide/Backend.java
@@ -18,9 +18,10 @@
     int pending;
     /** Load of the open connections, where it is told. */
     double load;
-    /** Decaying counts of set-ups that stood and of failures, and when they were last aged. */
+    /** Decaying counts of set-ups that stood, of failures, and of those of them that a shared store may cause. */
     double good;
     double bad;
+    double slow;
     long evidenceAt;
     long fullUntil;
     /** Dispatches that the cold budget still allows, and when that was reckoned. */
--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -365,8 +365,8 @@
         int judged = 0;
         for (Backend b : members) {
             age(b, now);
-            doubtful += b.bad >= 0.25 ? 1 : 0;
-            judged += b.bad + b.good >= 0.25 ? 1 : 0;
+            doubtful += b.slow >= 0.25 ? 1 : 0;
+            judged += b.slow + b.good >= 0.25 ? 1 : 0;
             lates += late(b, now) ? 1 : 0;
             b.holds = false;
             for (Association other : b.open) {
@@ -390,6 +390,7 @@
         double keep = Math.pow(0.5, (double) (now - b.evidenceAt) / HALF_LIFE);
         b.good *= keep;
         b.bad *= keep;
+        b.slow *= keep;
         b.evidenceAt = now;
     }
 
@@ -414,11 +415,11 @@
     /** Draws whether a doubtful backend gets work. */
     private boolean sound(Backend b) {
         // Danger: a shared store that slows fails set-ups everywhere; blaming each backend would leave none.
-        if (b.bad < 0.25 || jammed) {
+        double no = jammed ? b.bad - b.slow : b.bad;
+        if (no < 0.25) {
             return true;
         }
         double yes = 1 + b.good;
-        double no = b.bad;
         double sum = yes + no;
         double draw = yes / sum + Math.sqrt(yes * no / (sum * sum * (sum + 1))) * chance.nextGaussian();
         return draw >= 0.5;
@@ -431,6 +432,7 @@
             case NOT_CONNECTED -> b.bad++;
             case ERROR, TIMED_OUT -> {
                 b.bad++;
+                b.slow++;
                 survey(0, now);
                 // Danger: repeats at once keep a jammed store jammed; set-ups are spaced until they succeed.
                 if (jammed) {
