--- a/src/main/java/ambertrestle/decide/Backend.java
+++ b/src/main/java/ambertrestle/decide/Backend.java
@@ -24,7 +24,6 @@
     double slow;
     long evidenceAt;
     long fullUntil;
-    long deadUntil;
     /** Dispatches that the cold budget still allows, and when that was reckoned. */
     double allowance;
     long allowanceAt;
--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -292,7 +292,7 @@
         Backend known = entry == null ? null : backends.get(entry.backend);
         // Danger: an open connection sent elsewhere is reset, so a mid-flow hit is not passed over.
         boolean open = a.midFlow && a.dispatches == 0;
-        if (known != null && known.stage == Stage.READY && !a.tried(known.id) && now >= known.deadUntil
+        if (known != null && known.stage == Stage.READY && !a.tried(known.id)
                 && (open || sound(known) && !overfull(known, now)) && mayReach(known, a, now)) {
             return known;
         }
@@ -317,9 +317,8 @@
                     return b;
                 }
                 // Danger: work sent to a fleet that is late all over keeps it late; it waits or is shed.
-                boolean usable = b.stage == Stage.READY && now >= b.deadUntil;
-                ready += usable ? 1 : 0;
-                if (!usable || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
+                ready += b.stage == Stage.READY ? 1 : 0;
+                if (b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
                         || now < b.fullUntil || b.crowd(one) >= limit(b, now)
                         || holding >= depth && !b.holds
                         || pass == 0 && (overfull(b, now) || !admitted(b, key, now) || !sound(b))) {
@@ -430,11 +429,7 @@
         age(b, now);
         switch (outcome) {
             case FULL -> b.fullUntil = now + SECOND / 2;
-            case NOT_CONNECTED -> {
-                b.bad++;
-                // Danger: the roster hears of a crash seconds late; till then its keys would all try it in vain.
-                b.deadUntil = now + SECOND;
-            }
+            case NOT_CONNECTED -> b.bad++;
             case ERROR, TIMED_OUT -> {
                 b.bad++;
                 b.slow++;
