--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -321,7 +321,7 @@
                 if (b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
                         || now < b.fullUntil || b.crowd(one) >= limit(b, now)
                         || holding >= depth && !b.holds
-                        || pass == 0 && (overfull(b, now) || !admitted(b, key, now) || !sound(b))) {
+                        || pass == 0 && (overfull(b, now) || !sound(b))) {
                     continue;
                 }
                 if (mayReach(b, a, now)) {
@@ -399,12 +399,7 @@
         return b.delay > 0 && now - b.delayAt < 3 * SECOND;
     }
 
-    /** A fresh backend takes a share of its keys that grows with its age, the same keys at every relay. */
-    private boolean admitted(Backend b, long key, long now) {
-        double share = warmth(b, now);
-        return share >= 1 || (mix(key ^ b.hash) >>> 11) * 0x1p-53 < share;
-    }
-
+    /** What a fresh backend counts for, by its age. */
     private double warmth(Backend b, long now) {
         if (b.startedAt == 0 || now - b.startedAt >= coldFor) {
             return 1;
@@ -416,7 +411,7 @@
     private boolean sound(Backend b) {
         // Danger: a shared store that slows fails set-ups everywhere; blaming each backend would leave none.
         double no = jammed ? b.bad - b.slow : b.bad;
-        if (no < 1e9) {
+        if (no < 0.25) {
             return true;
         }
         double yes = 1 + b.good;
