--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -245,7 +245,12 @@
 
     /** Danger: what piles up on an overloaded backend makes every connection there late; some must leave. */
     private void moveOff(Backend b, long now) {
-        int some = (int) (b.open.size() / 6.0 + chance.nextDouble());
+        long patience = 0;
+        for (UseCase u : useCases) {
+            patience = Math.max(patience, u.cutOff());
+        }
+        // Danger: a hung backend keeps its connections; with more piled up than anyone waits for, all must leave.
+        int some = b.delay > patience ? b.open.size() : (int) (b.open.size() / 6.0 + chance.nextDouble());
         for (int n = 0; n < some; n++) {
             Association heaviest = null;
             boolean guests = false;
--- a/src/test/java/ambertrestle/TroubleTest.java
+++ b/src/test/java/ambertrestle/TroubleTest.java
@@ -24,6 +24,10 @@
         s.balancer().delayNote(home, 20 * Scene.MS, s.now);
         s.chores();
         s.ask("again", 77);
+        // Found on days with hangs: connections stayed on a hung backend until they broke.
+        s.at(3000).say("messages on " + home + " take 30 s");
+        s.balancer().delayNote(home, 30_000 * Scene.MS, s.now);
+        s.say("connections that leave: " + s.balancer().howLong(s.now).moves.size());
         s.matches("late");
     }
 
