--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -19,11 +19,13 @@
  * of this interface stand beside it in this package. One instance a relay, one thread, the batch's clock.
  *
  * <p>The ordinary path is docs/design.md's: own tracking table, else the Maglev table in the key's order.
- * Mechanisms beside it:
+ * Mechanisms beside it, as numbered there:
  * 1. size: a backend takes turns in the Maglev table in proportion to its listed weight;
- * 2. warm-up: a fresh backend counts by its age, with a hard budget in the gate;
- * 3. doubt: a backend with failures gets work by a draw from the posterior of its chance of success;
- * 4. time-outs that leave room for a further dispatch, on to the next in the key's order.
+ * 2. crowding: overfull and late backends are passed over on a hit too, groups lie on few backends;
+ * 3. moves: connections leave a late backend, guests and the heaviest first;
+ * 4. warm-up: a fresh backend counts by its age, with a hard budget in the gate;
+ * 5. doubt: a backend with failures gets work by a draw from the posterior of its chance of success;
+ * 6. pacing: time-outs with further dispatches, and set-ups spaced while they fail all over.
  */
 public final class Balancer {
     private static final long MS = 1_000_000L;
