--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -328,7 +328,7 @@
                 if (b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
                         || now < b.fullUntil || b.crowd(one) >= limit(b, now)
                         || holding >= depth && !b.holds
-                        || pass == 0 && (overfull(b, now) || !sound(b))) {
+                        || pass == 0 && overfull(b, now) || !sound(b)) {
                     continue;
                 }
                 if (mayReach(b, a, now)) {
