--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -313,7 +313,7 @@
             mark++;
             int met = 0;
             int ready = 0;
-            for (int i = 0; i < TABLE && met < members.length && ready < walk; i++) {
+            for (int i = 0; i < TABLE && met < members.length; i++) {
                 Backend b = table[slot + i < TABLE ? slot + i : slot + i - TABLE];
                 if (b.mark == mark) {
                     continue;
@@ -327,7 +327,7 @@
                 ready += b.stage == Stage.READY ? 1 : 0;
                 if (b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
                         || now < b.fullUntil || b.crowd(one) >= limit(b, now)
-                        || holding >= depth && !b.holds
+                        || holding >= depth && !b.holds || ready > walk && !(b.held() == 0 && held > 3 * warm)
                         || pass == 0 && overfull(b, now) || !sound(b)) {
                     continue;
                 }
