--- a/src/main/java/ambertrestle/decide/Backend.java
+++ b/src/main/java/ambertrestle/decide/Backend.java
@@ -24,6 +24,8 @@
     double slow;
     long evidenceAt;
     long fullUntil;
+    /** When it was last sent to or something there ended. */
+    long usedAt;
     /** Dispatches that the cold budget still allows, and when that was reckoned. */
     double allowance;
     long allowanceAt;
--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -58,7 +58,7 @@
     private long notedAt = Long.MIN_VALUE / 2;
 
     private final UseCase[] useCases;
-    private final int mostDispatches;
+    private final int mostDispatches, relays;
     private final boolean secondCopies, weighted;
     private final long drainGrace, coldFor, fallFor, comeBack;
     private final double coldFrom, fallMultiple;
@@ -103,6 +103,7 @@
         for (String part : jobTicket.getOrDefault("familyInfo.messageAim", "").split(",")) {
             shortestGoal = part.isEmpty() ? shortestGoal : Math.min(shortestGoal, Long.parseLong(part));
         }
+        relays = (int) JobTicket.number(jobTicket, "relays");
         bornAt = now;
         endedAt = now;
         purgeAt = now + ENTRY_AGE;
@@ -327,7 +328,7 @@
                 ready += b.stage == Stage.READY ? 1 : 0;
                 if (b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
                         || now < b.fullUntil || b.crowd(one) >= limit(b, now)
-                        || holding >= depth && !b.holds || ready > walk && !(b.held() == 0 && held > 3 * warm)
+                        || holding >= depth && !b.holds || ready > walk && !empty(b, now)
                         || pass == 0 && overfull(b, now) || !sound(b)) {
                     continue;
                 }
@@ -406,6 +407,11 @@
         return b.delay > 0 && now - b.delayAt < 3 * SECOND;
     }
 
+    /** Plainly empty: nothing here though this relay holds much, or for long though it holds some. */
+    private boolean empty(Backend b, long now) {
+        return b.held() == 0 && (held > 3 * warm || held * 4 > relays * warm && now - b.usedAt > 5 * SECOND);
+    }
+
     /** What a fresh backend counts for, by its age. */
     private double warmth(Backend b, long now) {
         if (b.startedAt == 0 || now - b.startedAt >= coldFor) {
@@ -522,6 +528,7 @@
             b.allowance--;
         }
         a.sent(b.id, now);
+        b.usedAt = now;
         b.pending++;
         return new Answer(Kind.SEND, b.id, timeOut(a, now));
     }
@@ -579,6 +586,7 @@
     }
 
     private void unhold(Association a, Backend b, long now) {
+        b.usedAt = now;
         if (!a.established) {
             b.pending--;
             return;
@@ -614,6 +622,7 @@
             b.bad = 0;
             b.fullUntil = 0;
         }
+        b.usedAt = b.usedAt == 0 ? now : b.usedAt;
         b.stage = line.stage();
         b.startedAt = line.stage() == Stage.GONE ? b.startedAt : line.startedAt();
         b.weight = weight;
--- a/src/test/java/ambertrestle/TroubleTest.java
+++ b/src/test/java/ambertrestle/TroubleTest.java
@@ -58,6 +58,24 @@
         s.matches("jam");
     }
 
+    /** Found on an incident: backends beyond the walk of every group stood empty while groups were shed. */
+    @Test
+    void plainlyEmptyBackendIsTakenBeyondTheWalk() throws Exception {
+        s.roster("1 2 3 4 5 6");
+        for (int i = 0; i < 24; i++) {
+            s.open("c" + i, 77);
+        }
+        s.trace.setLength(0);
+        for (long b = 1; b <= 6; b++) {
+            if (s.held.values().stream().map(a -> a.sentTo[0]).anyMatch(java.util.List.of(b)::contains)) {
+                s.balancer().delayNote(b, 150 * Scene.MS, s.now);
+                s.say("late and held: " + b);
+            }
+        }
+        s.ask("other", 78);
+        s.matches("empty");
+    }
+
     /** Found on an incident: a burst filled backends long before their messages were told to be late. */
     @Test
     void backendIsBoundByWhatItHeldWhenLate() throws Exception {
