--- a/src/main/java/ambertrestle/decide/Backend.java
+++ b/src/main/java/ambertrestle/decide/Backend.java
@@ -18,7 +18,7 @@
     int pending;
     /** Load of the open connections, where it is told. */
     double load;
-    /** Decaying counts of set-ups that stood, of failures, and of those of them that a shared store may cause. */
+    /** Decaying counts of set-ups that stood, of failures, and of failures that a shared store may cause. */
     double good;
     double bad;
     double slow;
--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -252,7 +252,7 @@
         for (UseCase u : useCases) {
             patience = Math.max(patience, u.cutOff());
         }
-        // Danger: a hung backend keeps its connections; with more piled up than anyone waits for, all must leave.
+        // Danger: a hung backend keeps its connections; with more piled up than anyone waits for, all leave.
         int some = b.delay > patience ? b.open.size() : (int) (b.open.size() / 6.0 + chance.nextDouble());
         for (int n = 0; n < some; n++) {
             Association heaviest = null;
@@ -344,7 +344,7 @@
         return (int) Long.remainderUnsigned(mix(a.key() != 0 ? a.key() : a.id), TABLE);
     }
 
-    /** Holds over twice its part of this relay's load and two connections more, said so, or is late. */
+    /** Holds twice its part of this relay's load and two more, or what it carries, said so, or is late. */
     private boolean overfull(Backend b, long now) {
         double unit = one == 0 ? 1 : one;
         double fair = held * unit * b.weight * warmth(b, now) / Math.max(weights, 1e-9);
--- a/src/test/java/ambertrestle/TroubleTest.java
+++ b/src/test/java/ambertrestle/TroubleTest.java
@@ -46,7 +46,7 @@
         s.matches("strewn");
     }
 
-    /** Found on a busy day (repeats at once kept a store jammed) and an incident (few backends seen hid it). */
+    /** Found on a busy day (repeats kept a store jammed) and an incident (few backends seen hid it). */
     @Test
     void setUpsAreSpacedWhileTheyFailAllOver() throws Exception {
         s.roster("1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20");
