--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -515,7 +515,7 @@
             double crowd = m.delay == 0 && m.stage == Stage.READY ? m.crowd(one) : 0;
             most = Math.max(most, crowd / m.weight);
         }
-        return Math.max(1, Math.min(3, most * weights / Math.max(one == 0 ? held : held * one, 1e-9)));
+        return Math.max(1, Math.min(6, most * weights / Math.max(one == 0 ? held : held * one, 1e-9)));
     }
 
     private void ageEnded(long now) {
