--- a/src/main/java/ambertrestle/decide/Backend.java
+++ b/src/main/java/ambertrestle/decide/Backend.java
@@ -35,9 +35,6 @@
     /** How long a message was last told to take, 0 while not long. */
     long delay;
     long delayAt = Long.MIN_VALUE / 2;
-    /** Load over capacity as it reported it last. */
-    double report;
-    long reportAt = Long.MIN_VALUE / 2;
     /** Met on the walk in hand. */
     int mark;
     /** Holds an open connection of the key in hand. */
--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -274,6 +274,8 @@
         }
     }
 
+    // Probes, load reports and peers' messages change nothing: paid probes were tried and lost (docs/design.md).
+
     public void probed(long backend, Outcome outcome, long now) {}
 
     /** A load report: values in the order of the job ticket's stats.fields. */
