--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -274,7 +274,7 @@
         }
     }
 
-    // Probes, load reports and peers' messages change nothing: paid probes were tried and lost (docs/design.md).
+    // Probes, reports and peers' messages change nothing: paid probes were tried and lost (docs/design.md).
 
     public void probed(long backend, Outcome outcome, long now) {}
 
