Keep sums as state changes instead of surveying all backends for each choice

Cause: each choice aged every backend and walked every open connection. Now sums over the ready backends follow each change, late and lately tried backends are kept in lists, and a key's holders come from its tracking entry; the table is filled when first needed after a roster.

--- a/src/main/java/ambertrestle/decide/Backend.java
+++ b/src/main/java/ambertrestle/decide/Backend.java
@@ -37,14 +37,45 @@
     long delayAt = Long.MIN_VALUE / 2;
     /** Met on the walk in hand. */
     int mark;
-    /** Holds an open connection of the key in hand. */
-    boolean holds;
+    /** Holds an open connection of the key in hand, where it is the mark of that look. */
+    int holds;
 
     Backend(long id, long hash) {
         this.id = id;
         this.hash = hash;
     }
 
+    /** Lets the evidence about it fade to this moment. */
+    Backend age(long now, long halfLife) {
+        if (now != evidenceAt) {
+            double keep = Math.pow(0.5, (double) (now - evidenceAt) / halfLife);
+            good *= keep;
+            bad *= keep;
+            slow *= keep;
+            evidenceAt = now;
+        }
+        return this;
+    }
+
+    void add(Association a) {
+        a.place = open.size();
+        open.add(a);
+    }
+
+    /** Whether it was open here; the last one takes its place. */
+    boolean remove(Association a) {
+        if (a.place < 0) {
+            return false;
+        }
+        Association last = open.remove(open.size() - 1);
+        if (last != a) {
+            open.set(a.place, last);
+            last.place = a.place;
+        }
+        a.place = -1;
+        return true;
+    }
+
     int held() {
         return open.size() + pending;
     }
--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -7,8 +7,10 @@
 import ambertrestle.decide.UseCase.Scope;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -37,10 +39,10 @@
     /** Evidence about a backend halves in this time. */
     private static final long HALF_LIFE = 4 * SECOND;
 
-    /** Where a key's established connections are. */
+    /** Where a key's established connections are: the server recorded last, and those open now. */
     private static final class Entry {
-        long backend;
-        int open;
+        Backend backend;
+        final ArrayList<Association> open = new ArrayList<>(2);
         long endedAt;
     }
 
@@ -49,6 +51,7 @@
     /** Listed ready or draining, by id: the members of the Maglev table. */
     private Backend[] members = new Backend[0];
     private Backend[] table = new Backend[0];
+    private boolean tableDue;
     private final LinkedHashMap<Long, Entry> tracking = new LinkedHashMap<>(256, 0.75f, true);
     private long purgeAt;
     private int mark;
@@ -62,8 +65,8 @@
     private final boolean secondCopies, weighted;
     private final long drainGrace, coldFor, fallFor, comeBack;
     private final double coldFrom, fallMultiple;
-    /** The shortest time in which a message is wanted. */
-    private long shortestGoal = Long.MAX_VALUE / 4;
+    /** The shortest time in which a message is wanted, and the longest that a client waits. */
+    private long shortestGoal = Long.MAX_VALUE / 4, patience;
 
     private boolean watchDue;
     private long watchAt = Long.MAX_VALUE;
@@ -76,10 +79,14 @@
     /** The time between two set-ups while set-ups fail all over, and the next that is free. */
     private long pace;
     private long nextSlot;
-    /** What the last survey saw: of the ready ones, weight, load and connections; how many hold the key. */
-    private double weights, warm, load, lateShare, one;
-    private int held, holding;
-    /** Over a third of the backends fail set-ups: what they share is to blame. */
+    /** Sums over the ready backends: weight and count by warmth, load, connections. */
+    private double weights, warm, load;
+    private int held;
+    private long summedAt, coldUntil = Long.MIN_VALUE;
+    /** Backends told to be late, and those with fresh evidence; looked through instead of all. */
+    private final LinkedHashSet<Backend> lates = new LinkedHashSet<>();
+    private final LinkedHashSet<Backend> tried = new LinkedHashSet<>();
+    /** Over half of the backends tried lately fail set-ups: what they share is to blame. */
     private boolean jammed;
 
     public Balancer(Map<String, String> jobTicket, long seed, long now) {
@@ -87,6 +94,7 @@
         useCases = new UseCase[(int) JobTicket.number(jobTicket, "useCases.count")];
         for (int u = 0; u < useCases.length; u++) {
             useCases[u] = UseCase.read(jobTicket, "useCases." + u + ".");
+            patience = Math.max(patience, useCases[u].cutOff());
         }
         mostDispatches = (int) JobTicket.number(jobTicket, "limits.dispatches");
         secondCopies = Boolean.parseBoolean(jobTicket.get("limits.secondCopies"));
@@ -95,8 +103,8 @@
         coldFor = (long) JobTicket.number(jobTicket, "rules.cold");
         fallMultiple = JobTicket.number(jobTicket, "rules.fallMultiple");
         fallFor = (long) JobTicket.number(jobTicket, "rules.fall");
-        String weights = JobTicket.word(jobTicket, "weights", "nominal", "rough", "none", "live");
-        weighted = weights.equals("nominal") || weights.equals("rough");
+        weighted = List.of("nominal", "rough").contains(
+                JobTicket.word(jobTicket, "weights", "nominal", "rough", "none", "live"));
         watchDue = JobTicket.word(jobTicket, "discovery", "pushed", "on_request").equals("on_request");
         boolean tells = Boolean.parseBoolean(jobTicket.get("limits.retryAfter"));
         comeBack = tells ? (long) JobTicket.number(jobTicket, "limits.maxRetryAfter") : 0;
@@ -159,7 +167,7 @@
             chores.rosterCall = Chores.RosterCall.WATCH;
         }
         if (now >= purgeAt) {
-            tracking.values().removeIf(e -> e.open == 0 && now - e.endedAt >= ENTRY_AGE);
+            tracking.values().removeIf(e -> e.open.isEmpty() && now - e.endedAt >= ENTRY_AGE);
             purgeAt = now + ENTRY_AGE / 4;
         }
         chores.log.addAll(notes);
@@ -190,8 +198,11 @@
             }
         }
         if (changed) {
-            fillTable();
+            members = backends.values().stream().filter(b -> b.stage != Stage.GONE).toArray(Backend[]::new);
+            Arrays.sort(members, (x, y) -> Long.compareUnsigned(x.id, y.id));
+            tableDue = true;
         }
+        sum(now);
     }
 
     public void rosterFailed(long now) {
@@ -204,8 +215,10 @@
     /** An open connection that was passing through when this relay started. */
     public void takenOver(Association a, long backend, long now) {
         a.sent(backend, now);
-        backends.computeIfAbsent(backend, this::unknown).pending++;
-        hold(a, backends.get(backend), now);
+        Backend b = backends.computeIfAbsent(backend, this::unknown);
+        b.pending++;
+        tally(b, 1, 0);
+        hold(a, b);
     }
 
     public void established(Association a, int dispatch, long took, long now) {
@@ -213,31 +226,30 @@
             return;
         }
         Backend b = backends.get(a.sentTo[dispatch]);
-        age(b, now);
-        b.good++;
+        b.age(now, HALF_LIFE).good++;
+        tried.add(b);
+        jammed = jammed && jammed(now);
         pace = pace < 50 * MS ? 0 : pace * 3 / 4;
         setUp += (took - setUp) / 16;
-        hold(a, b, now);
+        hold(a, b);
     }
 
     public void loadNote(Association a, double load, long now) {
         if (a.place >= 0) {
-            backends.get(a.sentTo[a.dispatches - 1]).load += load - a.load;
+            tally(backends.get(a.sentTo[a.dispatches - 1]), 0, load - a.load);
         }
         a.load = load;
     }
 
     public void delayNote(long backend, long delay, long now) {
-        Backend b = backends.get(backend);
-        if (b == null) {
-            return;
-        }
+        Backend b = backends.computeIfAbsent(backend, this::unknown);
         boolean rising = delay >= b.delay || now - b.delayAt > 3 * SECOND;
         if (delay * 3 > shortestGoal) {
-            double crowd = b.crowd(one);
+            double crowd = b.crowd(one());
             b.carries = !late(b, now) && b.carries > 0 ? (b.carries + crowd) / 2
                     : b.carries == 0 ? crowd : Math.min(b.carries, crowd);
             b.lateAt = now;
+            lates.add(b);
         }
         b.delay = delay * 3 > shortestGoal ? delay : 0;
         b.delayAt = now;
@@ -248,28 +260,16 @@
 
     /** Danger: what piles up on an overloaded backend makes every connection there late; some must leave. */
     private void moveOff(Backend b, long now) {
-        long patience = 0;
-        for (UseCase u : useCases) {
-            patience = Math.max(patience, u.cutOff());
-        }
         // Danger: a hung backend keeps its connections; with more piled up than anyone waits for, all leave.
         int some = b.delay > patience ? b.open.size() : (int) (b.open.size() / 6.0 + chance.nextDouble());
-        for (int n = 0; n < some; n++) {
-            Association heaviest = null;
-            boolean guests = false;
-            for (Association a : b.open) {
-                boolean guest = table[slot(a)] != b;
-                boolean better = heaviest == null || guest && !guests;
-                if (!a.moved && (better || guest == guests && a.load > heaviest.load)) {
-                    guests = guest;
-                    heaviest = a;
-                }
-            }
-            if (heaviest == null) {
-                return;
-            }
-            heaviest.moved = true;
-            moves.add(heaviest);
+        List<Association> first = new ArrayList<>(b.open);
+        first.removeIf(a -> a.moved);
+        fillTable();
+        first.sort(Comparator.comparing((Association a) -> table.length > 0 && table[slot(a)] == b)
+                .thenComparing(a -> -a.load));
+        for (Association a : first.subList(0, Math.min(some, first.size()))) {
+            a.moved = true;
+            moves.add(a);
             note("a backend is late, connections leave it", now);
         }
     }
@@ -297,20 +297,33 @@
         if (members.length == 0) {
             return null;
         }
-        survey(key, now);
+        if (now < coldUntil && now - summedAt > coldFor / 256) {
+            sum(now);
+        }
+        // Danger: fresh backends that carry nothing yet must not look like room in a fleet that grows.
+        lates.removeIf(b -> b.stage == Stage.GONE || !late(b, now));
+        double lateShare = lates.size() / Math.max(warm, 1);
         Entry entry = key == 0 ? null : tracking.get(key);
-        Backend known = entry == null ? null : backends.get(entry.backend);
+        Backend known = entry == null ? null : entry.backend;
         // Danger: an open connection sent elsewhere is reset, so a mid-flow hit is not passed over.
         boolean open = a.midFlow && a.dispatches == 0;
         if (known != null && known.stage == Stage.READY && !a.tried(known.id)
-                && (open || sound(known) && !overfull(known, now)) && mayReach(known, a, now)) {
+                && (open || sound(known, now) && !overfull(known, lateShare, now)) && mayReach(known, a, now)) {
             return known;
         }
         // Danger: every backend that holds any of a group pays for it; one strewn over all sinks them all.
-        double share = entry == null || held == 0 ? 0 : (double) entry.open / held;
+        double share = entry == null || held == 0 ? 0 : (double) entry.open.size() / held;
         int depth = lateShare * 3 > 1 ? 1 + (int) (share * warm) : 2 + (int) Math.round(share * warm);
         depth = a.group == 0 ? members.length : depth;
         int walk = lateShare * 4 > 1 ? depth : members.length;
+        int holding = 0;
+        int holds = ++mark;
+        for (int i = 0; entry != null && i < entry.open.size(); i++) {
+            Backend b = backends.get(entry.open.get(i).sentTo[entry.open.get(i).dispatches - 1]);
+            holding += b.holds != holds && b.stage != Stage.GONE ? 1 : 0;
+            b.holds = holds;
+        }
+        fillTable();
         int slot = slot(a);
         for (int pass = 0; pass < 2; pass++) {
             mark++;
@@ -329,9 +342,9 @@
                 // Danger: work sent to a fleet that is late all over keeps it late; it waits or is shed.
                 ready += b.stage == Stage.READY ? 1 : 0;
                 if (b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
-                        || now < b.fullUntil || b.crowd(one) >= limit(b, now)
-                        || holding >= depth && !b.holds || ready > walk && !empty(b, now)
-                        || pass == 0 && overfull(b, now) || !sound(b)) {
+                        || now < b.fullUntil || b.crowd(one()) >= limit(b, now)
+                        || holding >= depth && b.holds != holds || ready > walk && !empty(b, now)
+                        || pass == 0 && overfull(b, lateShare, now) || !sound(b, now)) {
                     continue;
                 }
                 if (mayReach(b, a, now)) {
@@ -347,11 +360,11 @@
     }
 
     /** Holds twice its part of this relay's load and two more, or what it carries, said so, or is late. */
-    private boolean overfull(Backend b, long now) {
-        double unit = one == 0 ? 1 : one;
+    private boolean overfull(Backend b, double lateShare, long now) {
+        double unit = one() == 0 ? 1 : one();
         double fair = held * unit * b.weight * warmth(b, now) / Math.max(weights, 1e-9);
         double bound = Math.max(1.25, 2 - 2 * lateShare);
-        double has = b.crowd(one);
+        double has = b.crowd(one());
         return now < b.fullUntil || late(b, now) || has >= limit(b, now)
                 || has > bound * fair && has >= fair + bound * unit;
     }
@@ -363,26 +376,19 @@
         return b.carries == 0 ? Double.MAX_VALUE : b.carries * loosened;
     }
 
-    /** Looks over the backends: what they hold, how they fare, who holds the key. */
-    private void survey(long key, long now) {
+    /** The usual load of one connection, 0 where none is told. */
+    private double one() {
+        return load > 0 && held > 0 ? load / held : 0;
+    }
+
+    /** Makes the sums over the ready backends anew; between, tally keeps those of load and connections. */
+    private void sum(long now) {
         weights = 0;
+        warm = 0;
         load = 0;
         held = 0;
-        holding = 0;
-        warm = 0;
-        int lates = 0;
-        int doubtful = 0;
-        int judged = 0;
+        summedAt = now;
         for (Backend b : members) {
-            age(b, now);
-            doubtful += b.slow >= 0.25 ? 1 : 0;
-            judged += b.slow + b.good >= 0.25 ? 1 : 0;
-            lates += late(b, now) ? 1 : 0;
-            b.holds = false;
-            for (Association other : b.open) {
-                b.holds |= key != 0 && other.key() == key;
-            }
-            holding += b.holds ? 1 : 0;
             if (b.stage == Stage.READY) {
                 weights += b.weight * warmth(b, now);
                 warm += warmth(b, now);
@@ -390,18 +396,24 @@
                 held += b.held();
             }
         }
-        // Danger: fresh backends that carry nothing yet must not look like room in a fleet that grows.
-        lateShare = lates / Math.max(warm, 1);
-        one = load > 0 ? load / held : 0;
-        jammed = doubtful * 2 > judged && doubtful > 2;
     }
 
-    private static void age(Backend b, long now) {
-        double keep = Math.pow(0.5, (double) (now - b.evidenceAt) / HALF_LIFE);
-        b.good *= keep;
-        b.bad *= keep;
-        b.slow *= keep;
-        b.evidenceAt = now;
+    private void tally(Backend b, int connections, double work) {
+        b.load += work;
+        if (b.stage == Stage.READY) {
+            held += connections;
+            load += work;
+        }
+    }
+
+    /** Over half of the backends tried lately fail set-ups. */
+    private boolean jammed(long now) {
+        int doubtful = 0;
+        for (Backend b : tried) {
+            doubtful += b.age(now, HALF_LIFE).slow >= 0.25 ? 1 : 0;
+        }
+        tried.removeIf(b -> b.slow + b.good < 0.25 || b.stage == Stage.GONE);
+        return doubtful * 2 > tried.size() && doubtful > 2;
     }
 
     /** Its messages are told to take long. */
@@ -423,7 +435,8 @@
     }
 
     /** Draws whether a doubtful backend gets work. */
-    private boolean sound(Backend b) {
+    private boolean sound(Backend b, long now) {
+        b.age(now, HALF_LIFE);
         // Danger: a shared store that slows fails set-ups everywhere; blaming each backend would leave none.
         double no = jammed ? b.bad - b.slow : b.bad;
         if (no < 0.25) {
@@ -436,14 +449,16 @@
     }
 
     private void judge(Backend b, Outcome outcome, boolean wasEstablished, long now) {
-        age(b, now);
+        b.age(now, HALF_LIFE);
         switch (outcome) {
             case FULL -> b.fullUntil = now + SECOND / 2;
             case NOT_CONNECTED -> b.bad++;
+            case RESET -> b.bad += wasEstablished ? 0.5 : 1;
             case ERROR, TIMED_OUT -> {
                 b.bad++;
                 b.slow++;
-                survey(0, now);
+                tried.add(b);
+                jammed = jammed(now);
                 // Danger: repeats at once keep a jammed store jammed; set-ups are spaced until they succeed.
                 if (jammed) {
                     note("set-ups fail all over, spacing them", now);
@@ -455,7 +470,6 @@
                 ageEnded(now);
                 ended++;
             }
-            case RESET -> b.bad += wasEstablished ? 0.5 : 1;
             default -> { }
         }
     }
@@ -514,10 +528,10 @@
     private double room() {
         double most = 0;
         for (Backend m : members) {
-            double crowd = m.delay == 0 && m.stage == Stage.READY ? m.crowd(one) : 0;
+            double crowd = m.delay == 0 && m.stage == Stage.READY ? m.crowd(one()) : 0;
             most = Math.max(most, crowd / m.weight);
         }
-        return Math.max(1, Math.min(6, most * weights / Math.max(one == 0 ? held : held * one, 1e-9)));
+        return Math.max(1, Math.min(6, most * weights / Math.max(one() == 0 ? held : load, 1e-9)));
     }
 
     private void ageEnded(long now) {
@@ -532,6 +546,7 @@
         a.sent(b.id, now);
         b.usedAt = now;
         b.pending++;
+        tally(b, 1, 0);
         return new Answer(Kind.SEND, b.id, timeOut(a, now));
     }
 
@@ -571,16 +586,15 @@
         }
     }
 
-    private void hold(Association a, Backend b, long now) {
+    private void hold(Association a, Backend b) {
         a.established = true;
         b.pending--;
-        a.place = b.open.size();
-        b.open.add(a);
-        b.load += a.load;
+        b.add(a);
+        tally(b, 0, a.load);
         if (a.key() != 0) {
             Entry entry = tracking.computeIfAbsent(a.key(), k -> new Entry());
-            entry.backend = b.id;
-            entry.open++;
+            entry.backend = b;
+            entry.open.add(a);
             if (tracking.size() > MOST_ENTRIES) {
                 tracking.remove(tracking.keySet().iterator().next());
             }
@@ -591,20 +605,13 @@
         b.usedAt = now;
         if (!a.established) {
             b.pending--;
-            return;
+            tally(b, -1, 0);
         }
-        if (a.place < 0) {
-            return;
+        if (b.remove(a)) {
+            tally(b, -1, b.open.isEmpty() ? -b.load : -a.load);
         }
-        Association last = b.open.remove(b.open.size() - 1);
-        if (last != a) {
-            b.open.set(a.place, last);
-            last.place = a.place;
-        }
-        a.place = -1;
-        b.load = b.open.isEmpty() ? 0 : b.load - a.load;
         Entry entry = tracking.get(a.key());
-        if (entry != null && entry.open > 0 && --entry.open == 0) {
+        if (entry != null && entry.open.remove(a) && entry.open.isEmpty()) {
             entry.endedAt = now;
         }
     }
@@ -630,13 +637,16 @@
         b.weight = weight;
         b.cell = line.cell();
         b.zone = line.zone();
+        coldUntil = Math.max(coldUntil, b.startedAt == 0 ? coldUntil : b.startedAt + coldFor + coldFor / 64);
         return changed;
     }
 
     /** Maglev: the listed backends, sorted by id, take slots in turn, each by its own offset and skip. */
     private void fillTable() {
-        members = backends.values().stream().filter(b -> b.stage != Stage.GONE).toArray(Backend[]::new);
-        Arrays.sort(members, (x, y) -> Long.compareUnsigned(x.id, y.id));
+        if (!tableDue) {
+            return;
+        }
+        tableDue = false;
         table = new Backend[members.length == 0 ? 0 : TABLE];
         int n = members.length;
         int[] next = new int[n];
