Split a large group over its part of the fleet, alike at every relay

Now a group lies on the first backends of its order whose weights make up its part of all connections; which is a client's is drawn by weight from its key, so relays agree. The part counts one more for each group; pairs of one group count the groups.

--- a/src/main/java/ambertrestle/decide/Association.java
+++ b/src/main/java/ambertrestle/decide/Association.java
@@ -32,6 +32,8 @@
     public long slot;
     /** How often it was told to wait. */
     public int waits;
+    /** Which part of its group it belongs to. */
+    public int part;
     /** Its place in its backend's list of open connections; -1 while in none. */
     public int place = -1;
 
@@ -53,6 +55,11 @@
         return group != 0 ? group : client;
     }
 
+    /** The key under which its part of the group is pinned. */
+    public long pin() {
+        return key() + part * 0x9e3779b97f4a7c15L;
+    }
+
     public boolean tried(long backend) {
         for (int d = 0; d < dispatches; d++) {
             if (sentTo[d] == backend) {
--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -23,16 +23,15 @@
  * <p>The ordinary path is docs/design.md's: own tracking table, else the Maglev table in the key's order.
  * Mechanisms beside it, as numbered there:
  * 1. size: a backend takes turns in the Maglev table in proportion to its listed weight;
- * 2. crowding: overfull and late backends are passed over on a hit too, groups lie on few backends;
- * 3. moves: connections leave a late backend, guests and the heaviest first;
+ * 2. crowding: overfull and late backends are passed over on a hit too, a group lies on its part of them;
+ * 3. moves: connections leave a late backend, the heaviest first;
  * 4. warm-up: a fresh backend counts by its age, with a hard budget in the gate;
  * 5. doubt: a backend with failures gets work by a draw from the posterior of its chance of success;
  * 6. pacing: time-outs with further dispatches, and set-ups spaced while they fail all over.
  */
 public final class Balancer {
-    private static final long MS = 1_000_000L;
-    private static final long SECOND = 1_000 * MS;
-    /** Prime; some hundred turns for each of a few dozen backends. */
+    private static final long MS = 1_000_000L, SECOND = 1_000 * MS;
+    /** Prime; turns keep it even to one slot: four times as many changed nothing at 138 backends. */
     private static final int TABLE = 4093;
     private static final int MOST_ENTRIES = 1 << 16;
     private static final long ENTRY_AGE = 60 * SECOND;
@@ -52,17 +51,19 @@
     private Backend[] members = new Backend[0];
     private Backend[] table = new Backend[0];
     private boolean tableDue;
+    /** The key's order as far as it was walked: distinct backends met from the key's slot on. */
+    private Backend[] order = new Backend[0];
+    private int met, walked;
     private final LinkedHashMap<Long, Entry> tracking = new LinkedHashMap<>(256, 0.75f, true);
     private long purgeAt;
     private int mark;
-    private final Chores chores = new Chores();
-    private final List<Association> moves = new ArrayList<>();
-    private final List<String> notes = new ArrayList<>();
+    /** Gathers what is due until it is next asked for. */
+    private Chores chores = new Chores();
     private long notedAt = Long.MIN_VALUE / 2;
 
     private final UseCase[] useCases;
     private final int mostDispatches, relays;
-    private final boolean secondCopies, weighted;
+    private final boolean secondCopies, weighted, tellsDelay;
     private final long drainGrace, coldFor, fallFor, comeBack;
     private final double coldFrom, fallMultiple;
     /** The shortest time in which a message is wanted, and the longest that a client waits. */
@@ -82,6 +83,8 @@
     /** Sums over the ready backends: weight and count by warmth, load, connections. */
     private double weights, warm, load;
     private int held;
+    /** How many pairs of open connections are of one group. */
+    private long pairs;
     private long summedAt, coldUntil = Long.MIN_VALUE;
     /** Backends told to be late, and those with fresh evidence; looked through instead of all. */
     private final LinkedHashSet<Backend> lates = new LinkedHashSet<>();
@@ -98,6 +101,7 @@
         }
         mostDispatches = (int) JobTicket.number(jobTicket, "limits.dispatches");
         secondCopies = Boolean.parseBoolean(jobTicket.get("limits.secondCopies"));
+        tellsDelay = Boolean.parseBoolean(jobTicket.get("familyInfo.tellsDelay"));
         drainGrace = (long) JobTicket.number(jobTicket, "rules.drainGrace");
         coldFrom = JobTicket.number(jobTicket, "rules.coldFrom");
         coldFor = (long) JobTicket.number(jobTicket, "rules.cold");
@@ -158,24 +162,21 @@
         return where(a, now);
     }
 
-    /** How long to wait before asking again, and the chores that are due now. */
+    /** How long to wait before asking again, and the chores now due. */
     public Chores howLong(long now) {
-        chores.clear();
+        Chores due = chores;
+        chores = new Chores();
         if (watchDue || now >= watchAt) {
             watchDue = false;
             watchAt = Long.MAX_VALUE;
-            chores.rosterCall = Chores.RosterCall.WATCH;
+            due.rosterCall = Chores.RosterCall.WATCH;
         }
         if (now >= purgeAt) {
             tracking.values().removeIf(e -> e.open.isEmpty() && now - e.endedAt >= ENTRY_AGE);
             purgeAt = now + ENTRY_AGE / 4;
         }
-        chores.log.addAll(notes);
-        notes.clear();
-        chores.moves.addAll(moves);
-        moves.clear();
-        chores.wakeAt = Math.min(purgeAt, watchAt);
-        return chores;
+        due.wakeAt = Math.min(purgeAt, watchAt);
+        return due;
     }
 
     // ---- what it is told
@@ -262,22 +263,16 @@
     private void moveOff(Backend b, long now) {
         // Danger: a hung backend keeps its connections; with more piled up than anyone waits for, all leave.
         int some = b.delay > patience ? b.open.size() : (int) (b.open.size() / 6.0 + chance.nextDouble());
-        List<Association> first = new ArrayList<>(b.open);
-        first.removeIf(a -> a.moved);
-        fillTable();
-        first.sort(Comparator.comparing((Association a) -> table.length > 0 && table[slot(a)] == b)
-                .thenComparing(a -> -a.load));
-        for (Association a : first.subList(0, Math.min(some, first.size()))) {
-            a.moved = true;
-            moves.add(a);
-            note("a backend is late, connections leave it", now);
-        }
+        b.open.stream().filter(a -> !a.moved).sorted(Comparator.comparing(a -> -a.load)).limit(some)
+                .forEach(a -> {
+                    a.moved = true;
+                    chores.moves.add(a);
+                    note("a backend is late, connections leave it", now);
+                });
     }
 
     // Probes, reports and peers' messages change nothing: paid probes were tried and lost (docs/design.md).
 
-    public void probed(long backend, Outcome outcome, long now) {}
-
     /** A load report: values in the order of the job ticket's stats.fields. */
     public void report(long backend, float[] values, long now) {}
 
@@ -293,73 +288,98 @@
     // ---- the ordinary path
 
     private Backend choose(Association a, long now) {
-        long key = a.key();
-        if (members.length == 0) {
-            return null;
-        }
         if (now < coldUntil && now - summedAt > coldFor / 256) {
             sum(now);
         }
         // Danger: fresh backends that carry nothing yet must not look like room in a fleet that grows.
         lates.removeIf(b -> b.stage == Stage.GONE || !late(b, now));
         double lateShare = lates.size() / Math.max(warm, 1);
-        Entry entry = key == 0 ? null : tracking.get(key);
-        Backend known = entry == null ? null : entry.backend;
-        // Danger: an open connection sent elsewhere is reset, so a mid-flow hit is not passed over.
-        boolean open = a.midFlow && a.dispatches == 0;
-        if (known != null && known.stage == Stage.READY && !a.tried(known.id)
-                && (open || sound(known, now) && !overfull(known, lateShare, now)) && mayReach(known, a, now)) {
-            return known;
-        }
+        Entry entry = tracking.get(a.key());
         // Danger: every backend that holds any of a group pays for it; one strewn over all sinks them all.
-        double share = entry == null || held == 0 ? 0 : (double) entry.open.size() / held;
-        int depth = lateShare * 3 > 1 ? 1 + (int) (share * warm) : 2 + (int) Math.round(share * warm);
-        depth = a.group == 0 ? members.length : depth;
-        int walk = lateShare * 4 > 1 ? depth : members.length;
+        double part = a.group == 0 ? members.length : part(entry);
+        int depth = lateShare * 3 > 1 ? 1 + (int) part : 2 + (int) Math.round(part);
         int holding = 0;
         int holds = ++mark;
-        for (int i = 0; entry != null && i < entry.open.size(); i++) {
-            Backend b = backends.get(entry.open.get(i).sentTo[entry.open.get(i).dispatches - 1]);
+        for (Association other : entry == null ? List.<Association>of() : entry.open) {
+            Backend b = backends.get(other.sentTo[other.dispatches - 1]);
             holding += b.holds != holds && b.stage != Stage.GONE ? 1 : 0;
             b.holds = holds;
         }
-        fillTable();
-        int slot = slot(a);
-        for (int pass = 0; pass < 2; pass++) {
-            mark++;
-            int met = 0;
-            int ready = 0;
-            for (int i = 0; i < TABLE && met < members.length; i++) {
-                Backend b = table[slot + i < TABLE ? slot + i : slot + i - TABLE];
-                if (b.mark == mark) {
-                    continue;
-                }
+        startOrder(a);
+        int parts = a.group == 0 ? 1 : parts(a, part, now);
+        Entry pin = tracking.get(a.pin());
+        Backend known = a.key() == 0 || pin == null ? null : pin.backend;
+        // Danger: an open connection sent elsewhere is reset, so a mid-flow hit is not passed over.
+        boolean open = a.midFlow && a.dispatches == 0;
+        if (known != null && known.stage == Stage.READY && !a.tried(known.id) && mayReach(known, a, now)
+                && (open || sound(known, now) && !overfull(known, lateShare, now))) {
+            return known;
+        }
+        int walk = lateShare * 4 > 1 ? depth : members.length;
+        Backend spare = null;
+        for (int i = 0, ready = 0; i < members.length; i++) {
+            Backend b = inOrder(i < parts ? (a.part + i) % parts : i);
+            if (b != null && i == 0 && open && mayReach(b, a, now)) {
+                return b;
+            }
+            ready += b != null && b.stage == Stage.READY ? 1 : 0;
+            // Danger: work sent to a fleet that is late all over keeps it late; it waits or is shed.
+            if (b == null || b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
+                    || now < b.fullUntil || b.crowd(one()) >= limit(b, now)
+                    || holding >= depth && b.holds != holds || ready > walk && !empty(b, now)
+                    || !sound(b, now) || !mayReach(b, a, now)) {
+                continue;
+            }
+            if (!overfull(b, lateShare, now)) {
+                return b;
+            }
+            spare = spare == null ? b : spare;
+        }
+        return spare;
+    }
+
+    /** Backends that the group would fill: one more seen for each group, which pairs of one group count. */
+    private double part(Entry entry) {
+        double groups = (held * (held + 1.0) / 2 + warm / 4) / (pairs + 0.25);
+        return warm * (1 + (entry == null ? 0 : entry.open.size())) / (held + groups);
+    }
+
+    private void startOrder(Association a) {
+        if (tableDue) {
+            fillTable();
+        }
+        walked = (int) Long.remainderUnsigned(mix(a.key() != 0 ? a.key() : a.id), TABLE);
+        met = 0;
+        mark++;
+    }
+
+    private Backend inOrder(int i) {
+        for (int end = walked + TABLE; met <= i && walked < end && table.length > 0; walked++) {
+            Backend b = table[walked % TABLE];
+            if (b.mark != mark) {
                 b.mark = mark;
-                met++;
-                if (met == 1 && open && mayReach(b, a, now)) {
-                    return b;
-                }
-                // Danger: work sent to a fleet that is late all over keeps it late; it waits or is shed.
-                ready += b.stage == Stage.READY ? 1 : 0;
-                if (b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
-                        || now < b.fullUntil || b.crowd(one()) >= limit(b, now)
-                        || holding >= depth && b.holds != holds || ready > walk && !empty(b, now)
-                        || pass == 0 && overfull(b, lateShare, now) || !sound(b, now)) {
-                    continue;
-                }
-                if (mayReach(b, a, now)) {
-                    return b;
-                }
+                order[met++] = b;
             }
         }
-        return null;
+        return i < met ? order[i] : null;
     }
 
-    private static int slot(Association a) {
-        return (int) Long.remainderUnsigned(mix(a.key() != 0 ? a.key() : a.id), TABLE);
+    /** On how many backends its group lies: the first in its order whose weights make up the group's part.
+        The client's among them is drawn by weight, alike at every relay, and mostly stays if they change. */
+    private int parts(Association a, double part, long now) {
+        double least = Double.MAX_VALUE;
+        int n = 0;
+        for (double left = part; (n == 0 || left > 0.5) && inOrder(n) != null; n++) {
+            double size = inOrder(n).weight * warmth(inOrder(n), now) * warm / weights;
+            double draw = -Math.log((mix(a.client ^ inOrder(n).hash) >>> 11) * 0x1p-53) / size;
+            left -= size;
+            a.part = draw < least ? n : a.part;
+            least = Math.min(least, draw);
+        }
+        return Math.max(1, n);
     }
 
-    /** Holds twice its part of this relay's load and two more, or what it carries, said so, or is late. */
+    /** Holds twice its part and two more, or what it carries, said so, or is late. */
     private boolean overfull(Backend b, double lateShare, long now) {
         double unit = one() == 0 ? 1 : one();
         double fair = held * unit * b.weight * warmth(b, now) / Math.max(weights, 1e-9);
@@ -439,11 +459,11 @@
         b.age(now, HALF_LIFE);
         // Danger: a shared store that slows fails set-ups everywhere; blaming each backend would leave none.
         double no = jammed ? b.bad - b.slow : b.bad;
+        double yes = 1 + b.good;
+        double sum = yes + no;
         if (no < 0.25) {
             return true;
         }
-        double yes = 1 + b.good;
-        double sum = yes + no;
         double draw = yes / sum + Math.sqrt(yes * no / (sum * sum * (sum + 1))) * chance.nextGaussian();
         return draw >= 0.5;
     }
@@ -521,17 +541,9 @@
         ageEnded(now);
         // Danger: dispatches of a storm of resets come back many times over and would inflate the budget.
         double span = Math.min(now - bornAt, 10 * SECOND) + SECOND;
-        return fallMultiple * warmth(b, now) * room() * ended / span * b.weight / Math.max(weights, 1e-9);
-    }
-
-    /** How many times the mean the fullest backend in time carries: a fair guess of what others could. */
-    private double room() {
-        double most = 0;
-        for (Backend m : members) {
-            double crowd = m.delay == 0 && m.stage == Stage.READY ? m.crowd(one()) : 0;
-            most = Math.max(most, crowd / m.weight);
-        }
-        return Math.max(1, Math.min(6, most * weights / Math.max(one() == 0 ? held : load, 1e-9)));
+        // Where few are late, a warm backend could do some times what it is seen to do.
+        int room = !tellsDelay || lates.size() * 8 > members.length ? 1 : 4;
+        return fallMultiple * warmth(b, now) * room * ended / span * b.weight / Math.max(weights, 1e-9);
     }
 
     private void ageEnded(long now) {
@@ -552,11 +564,8 @@
 
     /** Leaves room for a further dispatch before the goal time. */
     private long timeOut(Association a, long now) {
-        long left = a.cutOff - now;
-        if (a.dispatches >= mostDispatches || pace > 0) {
-            return left;
-        }
-        return Math.min(left, Math.max(useCases[a.useCase].goal() / 2, (long) (4 * setUp)));
+        long usual = Math.max(useCases[a.useCase].goal() / 2, (long) (4 * setUp));
+        return a.dispatches >= mostDispatches || pace > 0 ? a.cutOff - now : Math.min(a.cutOff - now, usual);
     }
 
     private Answer waitOrGiveUp(Association a, long now) {
@@ -582,7 +591,7 @@
     private void note(String line, long now) {
         if (now - notedAt >= 5 * SECOND) {
             notedAt = now;
-            notes.add(line);
+            chores.log.add(line);
         }
     }
 
@@ -593,8 +602,9 @@
         tally(b, 0, a.load);
         if (a.key() != 0) {
             Entry entry = tracking.computeIfAbsent(a.key(), k -> new Entry());
-            entry.backend = b;
+            pairs += entry.open.size();
             entry.open.add(a);
+            (a.part <= 0 ? entry : tracking.computeIfAbsent(a.pin(), k -> new Entry())).backend = b;
             if (tracking.size() > MOST_ENTRIES) {
                 tracking.remove(tracking.keySet().iterator().next());
             }
@@ -611,7 +621,8 @@
             tally(b, -1, b.open.isEmpty() ? -b.load : -a.load);
         }
         Entry entry = tracking.get(a.key());
-        if (entry != null && entry.open.remove(a) && entry.open.isEmpty()) {
+        if (entry != null && entry.open.remove(a)) {
+            pairs -= entry.open.size();
             entry.endedAt = now;
         }
     }
@@ -643,36 +654,28 @@
 
     /** Maglev: the listed backends, sorted by id, take slots in turn, each by its own offset and skip. */
     private void fillTable() {
-        if (!tableDue) {
-            return;
-        }
         tableDue = false;
+        order = new Backend[members.length];
         table = new Backend[members.length == 0 ? 0 : TABLE];
         int n = members.length;
         int[] next = new int[n];
-        int[] skip = new int[n];
         double[] turns = new double[n];
-        double heaviest = 0;
+        double heaviest = Arrays.stream(members).mapToDouble(b -> b.weight).max().orElse(0);
         for (int i = 0; i < n; i++) {
             next[i] = (int) Long.remainderUnsigned(members[i].hash, TABLE);
-            skip[i] = (int) Long.remainderUnsigned(mix(members[i].hash), TABLE - 1) + 1;
-            heaviest = Math.max(heaviest, members[i].weight);
-        }
-        for (int filled = 0; n > 0;) {
-            for (int i = 0; i < n; i++) {
-                turns[i] += members[i].weight / heaviest;
-                if (turns[i] < 1) {
-                    continue;
-                }
-                turns[i]--;
-                while (table[next[i]] != null) {
-                    next[i] = (next[i] + skip[i]) % TABLE;
-                }
-                table[next[i]] = members[i];
-                if (++filled == TABLE) {
-                    return;
-                }
+        }
+        for (int filled = 0, i = 0; n > 0 && filled < TABLE; i = (i + 1) % n) {
+            turns[i] += members[i].weight / heaviest;
+            if (turns[i] < 1) {
+                continue;
+            }
+            turns[i]--;
+            int skip = (int) Long.remainderUnsigned(mix(members[i].hash), TABLE - 1) + 1;
+            while (table[next[i]] != null) {
+                next[i] = (next[i] + skip) % TABLE;
             }
+            table[next[i]] = members[i];
+            filled++;
         }
     }
 
--- a/src/main/java/ambertrestle/decide/Chores.java
+++ b/src/main/java/ambertrestle/decide/Chores.java
@@ -14,12 +14,4 @@
     public final List<String> log = new ArrayList<>();
     /** A message to all peers, or null. */
     public byte[] message;
-
-    public void clear() {
-        rosterCall = RosterCall.NONE;
-        probes.clear();
-        moves.clear();
-        log.clear();
-        message = null;
-    }
 }
