Remember lateness with nothing left there to tell; returning clients draw anew; time-outs double

Now a relay keeps a backend as late the longer the fewer connections a backend it holds (3 s and six times the backends a connection, 30 s at most), and a client that is back after a break draws its backend within its group's part anew. The split acts only where a relay holds fewer connections a backend than half the relays. A time-out doubles what set-ups are taken to need: a slow store got each of them several times.

--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -155,6 +155,8 @@
         a.fate[dispatch] = outcome.neverRan ? Fate.NEVER_RAN : Fate.MAY_HAVE_RUN;
         unhold(a, b, now);
         judge(b, outcome, a.established, now);
+        // Danger: where all set-ups turn slow, a short time-out sends each of them several times over.
+        setUp = outcome == Outcome.TIMED_OUT ? Math.max(setUp, (now - a.sentAt[dispatch]) / 2.0) : setUp;
         if (finished || a.closed) {
             a.closed = true;
             return Answer.NOTHING;
@@ -231,7 +233,7 @@
         tried.add(b);
         jammed = jammed && jammed(now);
         pace = pace < 50 * MS ? 0 : pace * 3 / 4;
-        setUp += (took - setUp) / 16;
+        setUp += (took - setUp) / 8;
         hold(a, b);
     }
 
@@ -271,7 +273,7 @@
                 });
     }
 
-    // Probes, reports and peers' messages change nothing: paid probes were tried and lost (docs/design.md).
+    // Reports change nothing: paid probes were tried and lost (docs/design.md).
 
     /** A load report: values in the order of the job ticket's stats.fields. */
     public void report(long backend, float[] values, long now) {}
@@ -283,8 +285,6 @@
         }
     }
 
-    public void peerMessage(int from, byte[] message, long now) {}
-
     // ---- the ordinary path
 
     private Backend choose(Association a, long now) {
@@ -306,7 +306,8 @@
             b.holds = holds;
         }
         startOrder(a);
-        int parts = a.group == 0 ? 1 : parts(a, part, now);
+        // Where this relay holds few a backend, twice its part cannot show that a group crowds one.
+        int parts = a.group == 0 || held * 2 > relays * warm ? 1 : parts(a, part, now);
         Entry pin = tracking.get(a.pin());
         Backend known = a.key() == 0 || pin == null ? null : pin.backend;
         // Danger: an open connection sent elsewhere is reset, so a mid-flow hit is not passed over.
@@ -319,18 +320,16 @@
         Backend spare = null;
         for (int i = 0, ready = 0; i < members.length; i++) {
             Backend b = inOrder(i < parts ? (a.part + i) % parts : i);
-            if (b != null && i == 0 && open && mayReach(b, a, now)) {
-                return b;
-            }
+            boolean first = open && i == 0;
             ready += b != null && b.stage == Stage.READY ? 1 : 0;
             // Danger: work sent to a fleet that is late all over keeps it late; it waits or is shed.
-            if (b == null || b.stage != Stage.READY || a.tried(b.id) || late(b, now) && b.delay > shortestGoal
-                    || now < b.fullUntil || b.crowd(one()) >= limit(b, now)
-                    || holding >= depth && b.holds != holds || ready > walk && !empty(b, now)
-                    || !sound(b, now) || !mayReach(b, a, now)) {
+            if (b == null || !first && (b.stage != Stage.READY || a.tried(b.id)
+                    || late(b, now) && b.delay > shortestGoal || now < b.fullUntil
+                    || b.crowd(one()) >= limit(b, now) || holding >= depth && b.holds != holds
+                    || ready > walk && !empty(b, now) || !sound(b, now)) || !mayReach(b, a, now)) {
                 continue;
             }
-            if (!overfull(b, lateShare, now)) {
+            if (first || !overfull(b, lateShare, now)) {
                 return b;
             }
             spare = spare == null ? b : spare;
@@ -369,9 +368,10 @@
     private int parts(Association a, double part, long now) {
         double least = Double.MAX_VALUE;
         int n = 0;
+        long who = a.returning && !a.midFlow ? chance.nextLong() : a.client;
         for (double left = part; (n == 0 || left > 0.5) && inOrder(n) != null; n++) {
             double size = inOrder(n).weight * warmth(inOrder(n), now) * warm / weights;
-            double draw = -Math.log((mix(a.client ^ inOrder(n).hash) >>> 11) * 0x1p-53) / size;
+            double draw = -Math.log((mix(who ^ inOrder(n).hash) >>> 11) * 0x1p-53) / size;
             left -= size;
             a.part = draw < least ? n : a.part;
             least = Math.min(least, draw);
@@ -392,8 +392,7 @@
     /** Danger: a burst fills a backend before its messages are told to be late; what it carried bounds it. */
     private double limit(Backend b, long now) {
         double since = (double) (now - b.lateAt) / (10 * SECOND);
-        double loosened = 1 + since / 2 + since * since;
-        return b.carries == 0 ? Double.MAX_VALUE : b.carries * loosened;
+        return b.carries == 0 ? Double.MAX_VALUE : b.carries * (1 + since / 2 + since * since);
     }
 
     /** The usual load of one connection, 0 where none is told. */
@@ -436,9 +435,10 @@
         return doubtful * 2 > tried.size() && doubtful > 2;
     }
 
-    /** Its messages are told to take long. */
-    private static boolean late(Backend b, long now) {
-        return b.delay > 0 && now - b.delayAt < 3 * SECOND;
+    /** Its messages are told to take long; with none left here to tell, that is kept the longer. */
+    private boolean late(Backend b, long now) {
+        double kept = b.open.isEmpty() ? Math.min(30, 3 + 6 * warm / Math.max(held, 1)) : 3;
+        return b.delay > 0 && now - b.delayAt < kept * SECOND;
     }
 
     /** Plainly empty: nothing here though this relay holds much, or for long though it holds some. */
@@ -456,9 +456,8 @@
 
     /** Draws whether a doubtful backend gets work. */
     private boolean sound(Backend b, long now) {
-        b.age(now, HALF_LIFE);
         // Danger: a shared store that slows fails set-ups everywhere; blaming each backend would leave none.
-        double no = jammed ? b.bad - b.slow : b.bad;
+        double no = b.age(now, HALF_LIFE).bad - (jammed ? b.slow : 0);
         double yes = 1 + b.good;
         double sum = yes + no;
         if (no < 0.25) {
--- a/src/main/java/ambertrestle/simhost/SimHost.java
+++ b/src/main/java/ambertrestle/simhost/SimHost.java
@@ -165,7 +165,7 @@
                     balancer.established(a, b.u8(21), b.u32(11) * 1000, now);
                 }
             }
-            case Wire.FROM_PEER -> balancer.peerMessage(b.u16(3), b.tailBytes(5), now);
+            case Wire.FROM_PEER -> b.tailBytes(5);
             default -> throw new WireException(b.place() + ": no such event");
         }
     }
--- a/src/test/java/ambertrestle/TroubleTest.java
+++ b/src/test/java/ambertrestle/TroubleTest.java
@@ -98,6 +98,7 @@
     void largeGroupLiesOnTheSameBackendsAtEveryRelay() throws Exception {
         Scene other = new Scene();
         for (Scene relay : new Scene[] {s, other}) {
+            relay.ticket.put("relays", "40");
             relay.roster("1 2 3 4*2 5 6 7*2 8 9 10 11 12");
             int[] groups = relay == s ? new int[] {70, 71, 70, 72, 73, 74} : new int[] {75, 74, 70, 73, 76, 70};
             for (int i = 0; i < 60; i++) {
