Space set-ups in a jam by the number of relays, halve the space with each success

The space now starts at 12 ms a relay, ends at an eighth of a second a relay and halves with a success.

--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -232,7 +232,7 @@
         b.age(now, HALF_LIFE).good++;
         tried.add(b);
         jammed = jammed && jammed(now);
-        pace = pace < 50 * MS ? 0 : pace * 3 / 4;
+        pace = pace < relays * 12 * MS ? 0 : pace / 2;
         setUp += (took - setUp) / 8;
         hold(a, b);
     }
@@ -478,10 +478,10 @@
                 b.slow++;
                 tried.add(b);
                 jammed = jammed(now);
-                // Danger: repeats at once keep a jammed store jammed; set-ups are spaced until they succeed.
+                // Danger: repeats of all relays keep a jammed store jammed; set-ups are spaced until they succeed.
                 if (jammed) {
                     note("set-ups fail all over, spacing them", now);
-                    pace = Math.min(SECOND, Math.max(2 * pace, 50 * MS));
+                    pace = Math.min(relays * SECOND / 8, Math.max(2 * pace, relays * 12 * MS));
                     nextSlot = Math.max(nextSlot, now + pace / 2 + chance.nextLong(pace));
                 }
             }
--- a/src/test/java/ambertrestle/TroubleTest.java
+++ b/src/test/java/ambertrestle/TroubleTest.java
@@ -46,9 +46,10 @@
         s.matches("strewn");
     }
 
-    /** Found on a busy day (repeats kept a store jammed) and an incident (few backends seen hid it). */
+    /** Found on busy days (repeats kept a store jammed, of 24 relays too) and an incident (few seen hid it). */
     @Test
     void setUpsAreSpacedWhileTheyFailAllOver() throws Exception {
+        s.ticket.put("relays", "24");
         s.roster("1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20");
         for (int i = 0; i < 5; i++) {
             if (s.ask("f" + i, 100 + i).kind == Kind.SEND) {
