--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -80,12 +80,10 @@
     /** The time between two set-ups while set-ups fail all over, and the next that is free. */
     private long pace;
     private long nextSlot;
-    /** Sums over the ready backends: weight and count by warmth, load, connections. */
+    /** Sums over the ready backends: weight and count by warmth, load, connections; pairs of one group. */
     private double weights, warm, load;
     private int held;
-    /** How many pairs of open connections are of one group. */
-    private long pairs;
-    private long summedAt, coldUntil = Long.MIN_VALUE;
+    private long pairs, summedAt, coldUntil = Long.MIN_VALUE;
     /** Backends told to be late, and those with fresh evidence; looked through instead of all. */
     private final LinkedHashSet<Backend> lates = new LinkedHashSet<>();
     private final LinkedHashSet<Backend> tried = new LinkedHashSet<>();
@@ -228,8 +226,8 @@
         if (dispatch >= a.dispatches || a.established) {
             return;
         }
-        Backend b = backends.get(a.sentTo[dispatch]);
-        b.age(now, HALF_LIFE).good++;
+        Backend b = backends.get(a.sentTo[dispatch]).age(now, HALF_LIFE);
+        b.good++;
         tried.add(b);
         jammed = jammed && jammed(now);
         pace = pace < relays * 12 * MS ? 0 : pace / 2;
@@ -306,8 +304,7 @@
             b.holds = holds;
         }
         startOrder(a);
-        // Where this relay holds few a backend, twice its part cannot show that a group crowds one.
-        int parts = a.group == 0 || held * 2 > relays * warm ? 1 : parts(a, part, now);
+        int parts = a.group == 0 || !blind() ? 1 : parts(a, part, now);
         Entry pin = tracking.get(a.pin());
         Backend known = a.key() == 0 || pin == null ? null : pin.backend;
         // Danger: an open connection sent elsewhere is reset, so a mid-flow hit is not passed over.
@@ -316,7 +313,6 @@
                 && (open || sound(known, now) && !overfull(known, lateShare, now))) {
             return known;
         }
-        int walk = lateShare * 4 > 1 ? depth : members.length;
         Backend spare = null;
         for (int i = 0, ready = 0; i < members.length; i++) {
             Backend b = inOrder(i < parts ? (a.part + i) % parts : i);
@@ -326,7 +322,8 @@
             if (b == null || !first && (b.stage != Stage.READY || a.tried(b.id)
                     || late(b, now) && b.delay > shortestGoal || now < b.fullUntil
                     || b.crowd(one()) >= limit(b, now) || holding >= depth && b.holds != holds
-                    || ready > walk && !empty(b, now) || !sound(b, now)) || !mayReach(b, a, now)) {
+                    || lateShare * 4 > 1 && ready > depth && !empty(b, now) || !sound(b, now))
+                    || !mayReach(b, a, now)) {
                 continue;
             }
             if (first || !overfull(b, lateShare, now)) {
@@ -337,10 +334,16 @@
         return spare;
     }
 
-    /** Backends that the group would fill: one more seen for each group, which pairs of one group count. */
+    /** It holds so few a backend that twice its part cannot show that a group crowds one. */
+    private boolean blind() {
+        return held * 2 <= relays * warm;
+    }
+
+    /** Backends that the group would fill; if blind, one more is seen a group, which pairs of one count. */
     private double part(Entry entry) {
+        int seen = entry == null ? 0 : entry.open.size();
         double groups = (held * (held + 1.0) / 2 + warm / 4) / (pairs + 0.25);
-        return warm * (1 + (entry == null ? 0 : entry.open.size())) / (held + groups);
+        return blind() ? warm * (1 + seen) / (held + groups) : warm * seen / held;
     }
 
     private void startOrder(Association a) {
@@ -363,8 +366,8 @@
         return i < met ? order[i] : null;
     }
 
-    /** On how many backends its group lies: the first in its order whose weights make up the group's part.
-        The client's among them is drawn by weight, alike at every relay, and mostly stays if they change. */
+    /** Its group lies on the first in its order whose weights make up the group's part; the client's among
+        them is drawn by weight, alike at every relay, but anew for one that comes back from where it was. */
     private int parts(Association a, double part, long now) {
         double least = Double.MAX_VALUE;
         int n = 0;
@@ -437,7 +440,7 @@
 
     /** Its messages are told to take long; with none left here to tell, that is kept the longer. */
     private boolean late(Backend b, long now) {
-        double kept = b.open.isEmpty() ? Math.min(30, 3 + 6 * warm / Math.max(held, 1)) : 3;
+        double kept = b.open.isEmpty() ? Math.max(3, Math.min(30, 6 * warm / Math.max(held, 1))) : 3;
         return b.delay > 0 && now - b.delayAt < kept * SECOND;
     }
 
@@ -478,7 +481,7 @@
                 b.slow++;
                 tried.add(b);
                 jammed = jammed(now);
-                // Danger: repeats of all relays keep a jammed store jammed; set-ups are spaced until they succeed.
+                // Danger: repeats of all relays keep a jammed store jammed; set-ups wait until some stand.
                 if (jammed) {
                     note("set-ups fail all over, spacing them", now);
                     pace = Math.min(relays * SECOND / 8, Math.max(2 * pace, relays * 12 * MS));
@@ -568,12 +571,9 @@
     }
 
     private Answer waitOrGiveUp(Association a, long now) {
-        long pause = 50 * MS << Math.min(a.waits++, 5);
+        long until = now + (50 * MS << Math.min(a.waits++, 5));
         UseCase u = useCases[a.useCase];
-        if (now + pause < a.cutOff - u.cutOff() + u.goal()) {
-            return new Answer(Kind.WAIT, 0, now + pause);
-        }
-        return giveUp(a);
+        return until < a.cutOff - u.cutOff() + u.goal() ? new Answer(Kind.WAIT, 0, until) : giveUp(a);
     }
 
     /** Rule 1: the one place a final answer is given, at once. */
