--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -209,7 +209,7 @@
     public void rosterFailed(long now) {
         note("roster call failed, asking again", now);
         // Danger: relays that ask again in step keep the roster service full and all of them fail again.
-        long base = 200 * MS << Math.min(watchFailures++, 4);
+        long base = Math.min(8 * SECOND, relays * 50 * MS << Math.min(watchFailures++, 4));
         watchAt = now + base / 2 + chance.nextLong(base);
     }
 
