--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -311,7 +311,8 @@
             return known;
         }
         Backend spare = null;
-        for (int i = 0, ready = 0; i < members.length; i++) {
+        boolean far = lateShare * 4 <= 1 || held > 3 * warm || held * 4 > relays * warm;
+        for (int i = 0, ready = 0; i < members.length && (far || ready <= depth); i++) {
             Backend b = inOrder(i < parts ? (a.part + i) % parts : i);
             boolean first = open && i == 0;
             ready += b != null && b.stage == Stage.READY ? 1 : 0;
@@ -581,8 +582,6 @@
         return harmless ? new Answer(Kind.SHED, 0, comeBack) : Answer.FORFEIT;
     }
 
-    // ---- books
-
     /** Few lines: one in five seconds at the most. */
     private void note(String line, long now) {
         if (now - notedAt >= 5 * SECOND) {
