Take a new configuration on SIGHUP: the roster watch moves, all else goes on

Cause: no code took SIGHUP, so the JVM ended. Ruled out: the drain at SIGTERM, which exits with 143. Serve now rereads the file and tells the reducer; a faulty file is logged by key and changes nothing. The file wins over BALANCER_DISCOVERY, else the environment of the start would hide the new address. A watch that was moved is not torn down by the retry of the one before.

--- a/src/main/java/ambertrestle/relay/life/RunSheet.java
+++ b/src/main/java/ambertrestle/relay/life/RunSheet.java
@@ -1,6 +1,7 @@
 package ambertrestle.relay.life;
 
 import ambertrestle.relay.memory.RunValues;
+import ambertrestle.relay.wire.Address;
 import ambertrestle.relay.wire.RosterMessage;
 import ambertrestle.ticket.Ticket;
 import io.vertx.core.json.DecodeException;
@@ -16,13 +17,11 @@
 import java.util.stream.Collectors;
 
 /** The one place where configuration is read, checked and given defaults. */
-record RunSheet(String name, Address listen, Address discovery, int connectMillis, RosterMessage known,
+record RunSheet(String name, Address listen, int connectMillis, RosterMessage known,
         RunValues values) {
     /** Descriptors kept for the JVM's own files, the selector, the roster watch and connections being refused. */
     private static final int OWN_SOCKETS = 64;
 
-    record Address(String host, int port) { }
-
     /** Something is missing or malformed; the message names the key and what was expected. */
     static final class BadSheet extends Exception {
         private static final long serialVersionUID = 1L;
@@ -40,7 +39,8 @@
         JsonObject json;
         try {
             json = new JsonObject(Files.readString(Path.of(path)));
-        } catch (IOException | DecodeException e) {
+            json.fieldNames();
+        } catch (IOException | DecodeException | NullPointerException e) {
             throw new BadSheet("BALANCER_CONFIG", "names " + path + ", which "
                     + (e instanceof IOException ? "cannot be read" : "is not JSON"));
         }
@@ -60,7 +60,7 @@
         }
         long goal = Long.MAX_VALUE / 4;
         for (String part : ticket.getOrDefault("familyInfo.messageAim", "").split(",")) {
-            goal = part.isEmpty() ? goal : Math.min(goal, Long.parseLong(part));
+            goal = part.isEmpty() ? goal : Math.min(goal, (long) number(part, "settings: familyInfo.messageAim"));
         }
         JsonObject limits = part(json, "limits", JsonObject.class, new JsonObject(), "an object");
         String seed = need(part(json, "seed", String.class, null, "64 bits of hex"), "seed", "64 bits of hex");
@@ -74,21 +74,43 @@
         } catch (IllegalArgumentException e) {
             throw new BadSheet("known", "is malformed: " + e.getMessage());
         }
+        int sockets = part(limits, "limits.sockets", Integer.class, 1024, "a whole number");
+        if (sockets < 2 * OWN_SOCKETS) {
+            throw new BadSheet("limits.sockets", "is too small: expected " + 2 * OWN_SOCKETS + " at least, got " + sockets);
+        }
         RunValues values = new RunValues(ticket, Long.parseUnsignedLong(seed, 16), useCases, cutOffs,
                 names(settings, "tenants"), names(settings, "zones"), names(settings, "machineTypes"), goal,
-                part(limits, "limits.sockets", Integer.class, 1024, "a whole number") - OWN_SOCKETS, "pass".equals(ticket.get("familyInfo.mode")));
+                sockets - OWN_SOCKETS, "pass".equals(ticket.get("familyInfo.mode")),
+                // Danger: the environment of a running relay never changes; a new file must win over it here.
+                address(json, "discovery", environment, "BALANCER_DISCOVERY", true));
         return new RunSheet(environment.getOrDefault("BALANCER_NAME", part(json, "name", String.class, "relay", "a name")),
-                address(environment, json, "BALANCER_LISTEN", "listen"),
-                address(environment, json, "BALANCER_DISCOVERY", "discovery"),
+                address(json, "listen", environment, "BALANCER_LISTEN", false),
                 (int) (number(ticket, "limits.connectTimeout") / 1e6), known, values);
     }
 
-    private static Address address(Map<String, String> environment, JsonObject json, String variable, String key)
-            throws BadSheet {
-        String text = environment.getOrDefault(variable, part(json, key, String.class, null, "an address"));
-        need(text, variable, "an address and port");
-        if (!text.matches("[^:]+:\\d{1,5}")) {
-            throw new BadSheet(variable, "is malformed: expected an address and port, got " + text);
+    /** Keys that differ in a sheet read later, though a running relay keeps to what it started with. */
+    List<String> onlyAtStart(RunSheet later) {
+        List<String> keys = new ArrayList<>();
+        if (!listen.equals(later.listen)) {
+            keys.add("listen");
+        }
+        if (!name.equals(later.name)) {
+            keys.add("name");
+        }
+        if (!values.jobTicket().equals(later.values.jobTicket())) {
+            keys.add("settings");
+        }
+        return keys;
+    }
+
+    private static Address address(JsonObject json, String key, Map<String, String> environment, String variable,
+            boolean fileWins) throws BadSheet {
+        String here = part(json, key, String.class, null, "an address and port");
+        boolean fromFile = here != null && (fileWins || !environment.containsKey(variable));
+        String faulty = fromFile ? key : variable;
+        String text = need(fromFile ? here : environment.get(variable), faulty, "an address and port");
+        if (!text.matches("[^:]+:\\d{1,5}") || Integer.parseInt(text.substring(text.indexOf(':') + 1)) > 65535) {
+            throw new BadSheet(faulty, "is malformed: expected an address and port, got " + text);
         }
         int colon = text.lastIndexOf(':');
         return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
@@ -112,10 +134,14 @@
     }
 
     private static double number(Map<String, String> ticket, String name) throws BadSheet {
+        return number(need(ticket.get(name), "settings: " + name, "a number"), "settings: " + name);
+    }
+
+    private static double number(String text, String key) throws BadSheet {
         try {
-            return Double.parseDouble(need(ticket.get(name), "settings: " + name, "a number"));
+            return Double.parseDouble(text);
         } catch (NumberFormatException e) {
-            throw new BadSheet("settings: " + name, "is malformed: expected a number, got " + ticket.get(name));
+            throw new BadSheet(key, "is malformed: expected a number, got " + text);
         }
     }
 
--- a/src/main/java/ambertrestle/relay/life/Serve.java
+++ b/src/main/java/ambertrestle/relay/life/Serve.java
@@ -15,8 +15,10 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import sun.misc.Signal;
 
 /** Starts one relay, carries events to the reducer and its effects to their owners, and stops it. */
 public final class Serve {
@@ -41,7 +43,7 @@
         this.vertx = vertx;
         loop = vertx.getOrCreateContext();
         sockets = new Sockets(vertx, sheet.connectMillis(), this::heard);
-        watch = new RosterWatch(vertx, sheet.discovery().host(), sheet.discovery().port(), this::heard);
+        watch = new RosterWatch(vertx, this::heard);
         reducer = new Reducer(sheet.values(), sheet.known(), now());
     }
 
@@ -65,6 +67,8 @@
             return;
         }
         Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "stop"));
+        // Danger: unhandled, SIGHUP ends the JVM and with it all that is open.
+        Signal.handle(new Signal("HUP"), signal -> serve.loop.runOnContext(v -> serve.reread(sheet)));
         serve.loop.runOnContext(v -> serve.start(sheet));
     }
 
@@ -88,6 +92,21 @@
                 });
     }
 
+    /** Told by SIGHUP: the file is read again; a faulty one changes nothing. */
+    private void reread(RunSheet first) {
+        RunSheet later;
+        try {
+            later = RunSheet.read(System.getenv());
+        } catch (BadSheet e) {
+            LOG.log(Level.WARNING, "the configuration stays as it was: " + e.getMessage());
+            return;
+        }
+        List<String> keys = first.onlyAtStart(later);
+        LOG.log(Level.INFO, "the configuration was read again"
+                + (keys.isEmpty() ? "" : "; taken over only at the next start: " + String.join(", ", keys)));
+        happened(new Event.Reread(later.values().rosterAt(), later.values().mostSockets()));
+    }
+
     /** One that never goes back and reads like Unix time, so that what the roster tells needs no other. */
     private long now() {
         return System.nanoTime() + wallLess;
@@ -120,7 +139,7 @@
     private void carryOut(Effect effect) {
         if (effect instanceof Effect.OnWire wire) {
             if (wire.ask() instanceof Ask.Watch from) {
-                watch.ask(from.index());
+                watch.ask(from.at(), from.index());
             } else {
                 sockets.carryOut(wire.ask());
             }
--- a/src/main/java/ambertrestle/relay/memory/Event.java
+++ b/src/main/java/ambertrestle/relay/memory/Event.java
@@ -1,5 +1,6 @@
 package ambertrestle.relay.memory;
 
+import ambertrestle.relay.wire.Address;
 import ambertrestle.relay.wire.Heard;
 
 /** All that can happen to a relay. */
@@ -9,6 +10,9 @@
     /** The time that the last WakeAt named has come. */
     record Woke() implements Event { }
 
+    /** The configuration was read anew, and is sound: what of it may change while the relay runs. */
+    record Reread(Address rosterAt, int mostSockets) implements Event { }
+
     /** This relay shall stop. */
     record ToldToStop() implements Event { }
 }
--- a/src/main/java/ambertrestle/relay/memory/Reducer.java
+++ b/src/main/java/ambertrestle/relay/memory/Reducer.java
@@ -6,6 +6,7 @@
 import ambertrestle.decide.Chores;
 import ambertrestle.decide.Outcome;
 import ambertrestle.relay.memory.Connection.Stage;
+import ambertrestle.relay.wire.Address;
 import ambertrestle.relay.wire.Ask;
 import ambertrestle.relay.wire.FromBackend;
 import ambertrestle.relay.wire.FromClient;
@@ -51,12 +52,18 @@
     private int sockets;
     private long tellAt;
     private long armed = Long.MAX_VALUE;
+    /** Where the roster service is, and whether it is watched: a watch that broke is asked for again in time. */
+    private Address rosterAt;
+    private boolean watching;
     private boolean watched;
+    private int mostSockets;
     private long stopAt = Long.MAX_VALUE;
     private boolean stopped;
 
     public Reducer(RunValues values, RosterMessage known, long now) {
         this.values = values;
+        rosterAt = values.rosterAt();
+        mostSockets = values.mostSockets();
         roster = new Roster(values.zones(), values.types());
         balancer = new Balancer(values.jobTicket(), values.seed(), now);
         delays = new Delays(values.messageGoal() / 3);
@@ -69,6 +76,8 @@
         effects = new ArrayList<>();
         if (event instanceof Event.OnWire wire) {
             heard(wire.heard(), now);
+        } else if (event instanceof Event.Reread reread) {
+            reread(reread, now);
         } else if (event instanceof Event.ToldToStop) {
             note("told to stop: settling " + byAssociation.size() + " associations");
             stopAt = Math.min(stopAt, now + LAST_CALL);
@@ -84,6 +93,7 @@
             roster(e.message(), now);
         } else if (heard instanceof Heard.RosterBroke e) {
             note("roster watch broke: " + e.why());
+            watching = false;
             balancer.rosterFailed(now);
         } else if (heard instanceof Heard.ClientSaid e) {
             Connection c = bySocket.get(e.socket());
@@ -132,7 +142,7 @@
         bySocket.put(socket, c);
         sockets++;
         dues.set(c, now + SILENCE);
-        if (sockets > values.mostSockets() + SPARE) {
+        if (sockets > mostSockets + SPARE) {
             // Danger: clients that connect and say nothing would use up the descriptors, and accepting would fail.
             answer(c, line("BUSY"), now);
         }
@@ -193,7 +203,7 @@
             c.sentAt = now;
             c.backend = Roster.id(at);
             standing(c, now);
-        } else if (sockets + 1 > values.mostSockets()) {
+        } else if (sockets + 1 > mostSockets) {
             // Danger: past the limit of sockets a dispatch fails after it was counted; nothing has run yet.
             note("no socket left, turning a client away");
             balancer.clientLeft(a, now);
@@ -429,12 +439,28 @@
         if (!message.whole() && message.index() < roster.index) {
             note("the roster went back from " + roster.index + " to " + message.index());
             roster.index = -1;
-            effect(new Ask.Watch(-1));
+            watch();
             return;
         }
         balancer.roster(roster.take(message), message.whole(), false, now);
     }
 
+    private void watch() {
+        watched = true;
+        watching = true;
+        effect(new Ask.Watch(rosterAt, roster.index));
+    }
+
+    private void reread(Event.Reread reread, long now) {
+        mostSockets = reread.mostSockets();
+        if (!reread.rosterAt().equals(rosterAt)) {
+            note("the roster service is now at " + reread.rosterAt());
+            rosterAt = reread.rosterAt();
+            // Danger: what the old one still tells may be older than what the new one knows; it is left at once.
+            watch();
+        }
+    }
+
     /** After each event: what is due, the module's chores, and the next time to wake. */
     private void settle(long now) {
         for (Connection c = dues.next(now); c != null; c = dues.next(now)) {
@@ -447,9 +473,9 @@
         }
         Chores chores = balancer.howLong(now);
         // Danger: where the settings say that changes come by themselves, the module never asks; on sockets none come.
-        if (chores.rosterCall != Chores.RosterCall.NONE || !watched) {
-            watched = true;
-            effect(new Ask.Watch(roster.index));
+        // Danger: a watch moved meanwhile must not be torn down by the retry that the one before had coming.
+        if (!watching && (chores.rosterCall != Chores.RosterCall.NONE || !watched)) {
+            watch();
         }
         for (Association a : chores.moves) {
             move(byAssociation.get(a), now);
--- a/src/main/java/ambertrestle/relay/wire/Ask.java
+++ b/src/main/java/ambertrestle/relay/wire/Ask.java
@@ -18,6 +18,6 @@
 
     record Reset(long socket) implements Ask { }
 
-    /** Watches the roster from this version on, or, below 0, from the whole list on. */
-    record Watch(long index) implements Ask { }
+    /** Watches the roster there from this version on, or, below 0, from the whole list on. */
+    record Watch(Address at, long index) implements Ask { }
 }
--- a/src/main/java/ambertrestle/relay/wire/RosterWatch.java
+++ b/src/main/java/ambertrestle/relay/wire/RosterWatch.java
@@ -20,29 +20,25 @@
 
     private final Vertx vertx;
     private final HttpClient client;
-    private final String host;
-    private final int port;
     private final Consumer<Heard> tell;
     /** Counts the watches; what an earlier one still brings is not heard. */
     private long watch;
     private long guard = -1;
     private HttpClientRequest asked;
 
-    public RosterWatch(Vertx vertx, String host, int port, Consumer<Heard> tell) {
+    public RosterWatch(Vertx vertx, Consumer<Heard> tell) {
         this.vertx = vertx;
-        this.host = host;
-        this.port = port;
         this.tell = tell;
         client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false).setConnectTimeout(2_000)
                 .setMaxChunkSize(1 << 16));
     }
 
-    public void ask(long index) {
+    public void ask(Address at, long index) {
         giveBack();
         long mine = watch;
         guard(mine, ANSWER_MILLIS, "no answer");
         String path = "/v1/endpoints?stream=1" + (index < 0 ? "" : "&index=" + index);
-        client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(host).setPort(port).setURI(path))
+        client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(at.host()).setPort(at.port()).setURI(path))
                 .onFailure(e -> broke(mine, "not connected"))
                 .onSuccess(request -> {
                     if (mine != watch) {
--- a/src/test/java/ambertrestle/ReducerTest.java
+++ b/src/test/java/ambertrestle/ReducerTest.java
@@ -5,6 +5,7 @@
 import ambertrestle.relay.memory.Event;
 import ambertrestle.relay.memory.Reducer;
 import ambertrestle.relay.memory.RunValues;
+import ambertrestle.relay.wire.Address;
 import ambertrestle.relay.wire.Ask;
 import ambertrestle.relay.wire.FromBackend;
 import ambertrestle.relay.wire.FromClient;
@@ -36,7 +37,7 @@
         s.ticket.put("familyInfo.tellsDelay", "unseen");
         reducer = new Reducer(new RunValues(s.ticket, 7, List.of("read", "mark", "pay"),
                 List.of(2000 * Scene.MS, 2000 * Scene.MS, 2000 * Scene.MS), List.of(), List.of("west"), List.of("m2"),
-                100 * Scene.MS, mostSockets, packetsPass), list(3, true, names), s.now);
+                100 * Scene.MS, mostSockets, packetsPass, new Address("r", 1)), list(3, true, names), s.now);
         happens("start", new Event.Woke());
     }
 
@@ -58,7 +59,7 @@
                     : ask instanceof Ask.Close c ? "close " + c.socket()
                     : ask instanceof Ask.Reset r ? "reset " + r.socket()
                     : ask instanceof Ask.Finish f ? "finish " + f.socket()
-                    : ask instanceof Ask.Watch w ? "watch from " + w.index() : "";
+                    : ask instanceof Ask.Watch w ? "watch " + w.at() + " from " + w.index() : "";
         }
         return effect instanceof Effect.Note note ? "note " + note.line() : effect instanceof Effect.Stop ? "stop" : "";
     }
@@ -208,6 +209,22 @@
         s.matches("watch");
     }
 
+    @Test
+    void aNewConfigurationMovesTheWatchOnceAndTheOldRetryIsNotAskedFor() throws Exception {
+        start("s-1");
+        opens(1, "c=read,d=2000");
+        up(-1);
+        wire("watch broke", new Heard.RosterBroke("cut off"));
+        happens("read again", new Event.Reread(new Address("q", 2), 100));
+        wake(500);
+        happens("read again, unchanged", new Event.Reread(new Address("q", 2), 100));
+        wire("roster 4", new Heard.Roster(list(4, false, "s-2")));
+        wire("watch broke", new Heard.RosterBroke("ended"));
+        wake(1000);
+        client(1, "M 1");
+        s.matches("reread");
+    }
+
     @Test
     void hungBackendAndDeadConnection() throws Exception {
         start("s-1", "s-2");
--- a/src/test/java/ambertrestle/relay/life/RunSheetTest.java
+++ b/src/test/java/ambertrestle/relay/life/RunSheetTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import ambertrestle.decide.Listed.Stage;
+import ambertrestle.relay.wire.Address;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -33,7 +34,7 @@
     @Test
     void readsChecksAndNames() throws Exception {
         RunSheet sheet = read(GOOD);
-        assertThat(sheet.listen()).isEqualTo(new RunSheet.Address("127.0.0.5", 81));
+        assertThat(sheet.listen()).isEqualTo(new Address("127.0.0.5", 81));
         assertThat(sheet.connectMillis()).isEqualTo(150);
         assertThat(sheet.known().lines().get(0).stage()).isEqualTo(Stage.DRAINING);
         assertThat(sheet.values().seed()).isEqualTo(0xff00000000000001L);
@@ -55,12 +56,26 @@
             + "| settings: limits.connectTimeout is malformed: expected a number, got soon",
         "\"sockets\":200 | \"sockets\":\"many\" | limits.sockets is malformed: expected a whole number, got many",
         "\"discovery\":\"127.0.0.2:85\" | \"discovery\":\"here\" "
-            + "| BALANCER_DISCOVERY is malformed: expected an address and port, got here"})
+            + "| discovery is malformed: expected an address and port, got here"})
     void namesTheFaultyKey(String part, String broken, String message) {
         assertThat(GOOD).contains(part);
         assertThatThrownBy(() -> read(GOOD.replace(part, broken))).hasMessage(message);
     }
 
+    @Test
+    void aNewFileWinsForTheRosterServiceAndTellsWhatWaitsForAStart() throws Exception {
+        RunSheet first = read(GOOD);
+        String moved = GOOD.replace("127.0.0.2:85", "127.0.0.3:86").replace("\"sockets\":200", "\"sockets\":300");
+        Map<String, String> environment = Map.of("BALANCER_DISCOVERY", "127.0.0.2:85", "BALANCER_LISTEN", "127.0.0.5:81",
+                "BALANCER_CONFIG", Files.writeString(dir.resolve("d.json"), moved).toString());
+        RunSheet later = RunSheet.read(environment);
+        assertThat(later.values().rosterAt()).isEqualTo(new Address("127.0.0.3", 86));
+        assertThat(later.values().mostSockets()).isEqualTo(236);
+        assertThat(first.onlyAtStart(later)).isEmpty();
+        assertThat(first.onlyAtStart(read(GOOD.replace("\"siblings\":4", "\"siblings\":5").replace("n3", "n4"))))
+                .containsExactly("name", "settings");
+    }
+
     @Test
     void namesAMissingVariableAndWhatIsNoJson() {
         assertThatThrownBy(() -> RunSheet.read(Map.of())).hasMessageStartingWith("BALANCER_CONFIG is missing");
--- a/src/test/java/ambertrestle/relay/wire/SocketsTest.java
+++ b/src/test/java/ambertrestle/relay/wire/SocketsTest.java
@@ -113,8 +113,8 @@
     @Test
     void watchHearsPiecesOfMessagesAndTheEnd() throws Exception {
         try (ServerSocket service = new ServerSocket(0, 5, here)) {
-            RosterWatch watch = new RosterWatch(vertx, "127.0.0.1", service.getLocalPort(), heard::add);
-            vertx.runOnContext(v -> watch.ask(41));
+            RosterWatch watch = new RosterWatch(vertx, heard::add);
+            vertx.runOnContext(v -> watch.ask(new Address("127.0.0.1", service.getLocalPort()), 41));
             try (Socket call = service.accept()) {
                 byte[] request = new byte[42];
                 call.getInputStream().readNBytes(request, 0, 42);
