Pass packets on after SIGTERM until the platform kills, where they pass through

Checked with every event logged: a relay told to stop ended 0.5 s later and took its thirty open connections along; all came back as new ones, to one relay, while the platform starts a relay again only 3.9 s after SIGTERM. Ruled out: the reload itself (lists arrive 0.3 s after the signal). Wrong lines: Reducer.stop waited for placing ones alone. Now it waits for all where packets pass through.

--- a/src/main/java/ambertrestle/relay/memory/Reducer.java
+++ b/src/main/java/ambertrestle/relay/memory/Reducer.java
@@ -528,8 +528,9 @@
     }
 
     private void stop(long now) {
-        boolean placing = byAssociation.values().stream().anyMatch(c -> c.stage == Stage.PLACING);
-        if (placing) {
+        // Danger: where packets pass through, ending cuts off all that is open; it is passed on until the platform kills.
+        if (values.packetsPass() ? !byAssociation.isEmpty()
+                : byAssociation.values().stream().anyMatch(c -> c.stage == Stage.PLACING)) {
             stopAt = now + LAST_CALL / 8;
             return;
         }
--- a/src/test/java/ambertrestle/ReducerTest.java
+++ b/src/test/java/ambertrestle/ReducerTest.java
@@ -273,4 +273,19 @@
         wake(806);
         s.matches("stop");
     }
+
+    @Test
+    void packetsPassOnUntilAllIsOver() throws Exception {
+        start("s-1");
+        opens(1, "c=read,d=2000");
+        up(-1);
+        happens("told to stop", new Event.ToldToStop());
+        wake(501);
+        s.at(3000);
+        client(1, "M 1");
+        backend(-1, "M 1");
+        gone(1, false);
+        wake(3100);
+        s.matches("passing");
+    }
 }
