Turn away taken ids, hurried commands and the silent before they reach module or backend

Checked with every event logged: bad clients open with the id of an open connection; each went to all backends, one ERR after the other, which the module took for a fleet that fails (50 ERR to 83 UP at one relay, usual clients paced for seconds); 443 PING connections stayed 10 s each. Ruled out: memory (64 MB of 144) and lines that are none. Now relay.wire names what no client may send (Misuse), the reducer keeps open ids, a client has 2 s for its line and half a second after PONG, the oldest silent one makes room, and those turned away are counted, one line in 5 s.

--- a/src/main/java/ambertrestle/relay/life/RunSheet.java
+++ b/src/main/java/ambertrestle/relay/life/RunSheet.java
@@ -2,6 +2,7 @@
 
 import ambertrestle.relay.memory.RunValues;
 import ambertrestle.relay.wire.Address;
+import ambertrestle.relay.wire.Names;
 import ambertrestle.relay.wire.RosterMessage;
 import ambertrestle.ticket.Ticket;
 import io.vertx.core.json.DecodeException;
@@ -17,7 +18,7 @@
 import java.util.stream.Collectors;
 
 /** The one place where configuration is read, checked and given defaults. */
-record RunSheet(String name, Address listen, int connectMillis, RosterMessage known,
+record RunSheet(String name, Address listen, int connectMillis, Names names, RosterMessage known,
         RunValues values) {
     /** Descriptors kept for the JVM's own files, the selector, the roster watch and connections being refused. */
     private static final int OWN_SOCKETS = 64;
@@ -78,14 +79,14 @@
         if (sockets < 2 * OWN_SOCKETS) {
             throw new BadSheet("limits.sockets", "is too small: expected " + 2 * OWN_SOCKETS + " at least, got " + sockets);
         }
-        RunValues values = new RunValues(ticket, Long.parseUnsignedLong(seed, 16), useCases, cutOffs,
-                names(settings, "tenants"), names(settings, "zones"), names(settings, "machineTypes"), goal,
+        RunValues values = new RunValues(ticket, Long.parseUnsignedLong(seed, 16), cutOffs,
+                names(settings, "zones"), names(settings, "machineTypes"), goal,
                 sockets - OWN_SOCKETS, "pass".equals(ticket.get("familyInfo.mode")),
                 // Danger: the environment of a running relay never changes; a new file must win over it here.
                 address(json, "discovery", environment, "BALANCER_DISCOVERY", true));
         return new RunSheet(environment.getOrDefault("BALANCER_NAME", part(json, "name", String.class, "relay", "a name")),
                 address(json, "listen", environment, "BALANCER_LISTEN", false),
-                (int) (number(ticket, "limits.connectTimeout") / 1e6), known, values);
+                (int) (number(ticket, "limits.connectTimeout") / 1e6), new Names(useCases, names(settings, "tenants")), known, values);
     }
 
     /** Keys that differ in a sheet read later, though a running relay keeps to what it started with. */
--- a/src/main/java/ambertrestle/relay/life/Serve.java
+++ b/src/main/java/ambertrestle/relay/life/Serve.java
@@ -42,7 +42,7 @@
     private Serve(Vertx vertx, RunSheet sheet) {
         this.vertx = vertx;
         loop = vertx.getOrCreateContext();
-        sockets = new Sockets(vertx, sheet.connectMillis(), this::heard);
+        sockets = new Sockets(vertx, sheet.connectMillis(), sheet.names(), this::heard);
         watch = new RosterWatch(vertx, this::heard);
         reducer = new Reducer(sheet.values(), sheet.known(), now());
     }
--- a/src/main/java/ambertrestle/relay/memory/Connection.java
+++ b/src/main/java/ambertrestle/relay/memory/Connection.java
@@ -20,6 +20,7 @@
     final long client;
     Stage stage = Stage.SILENT;
     boolean clientGone;
+    boolean asked;
     Association association;
     FromClient.Opening opening;
     /** The dispatch that is out: its socket, 0 while none; `handed`: its line is with the socket; `written`: it is out. */
--- a/src/main/java/ambertrestle/relay/memory/Reducer.java
+++ b/src/main/java/ambertrestle/relay/memory/Reducer.java
@@ -11,9 +11,11 @@
 import ambertrestle.relay.wire.FromBackend;
 import ambertrestle.relay.wire.FromClient;
 import ambertrestle.relay.wire.Heard;
+import ambertrestle.relay.wire.Misuse;
 import ambertrestle.relay.wire.RosterMessage;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -26,8 +28,10 @@
     private static final long MS = 1_000_000L, SECOND = 1_000 * MS;
     /** Kept of the client's time for the way back of the answer. */
     private static final long WAY_BACK = 20 * MS;
-    /** How long a connection may say nothing at first, and how long one half of it may outlive the other. */
-    private static final long SILENCE = 10 * SECOND, HALF = 10 * SECOND;
+    /** How long a connection may take over its first line, and how long it may stay on once it was told PONG. */
+    private static final long SILENCE = 2 * SECOND, STAY = SECOND / 2;
+    /** How long one half of a connection may outlive the other, and what was written last its taker. */
+    private static final long HALF = 10 * SECOND, LINGER = 3 * SECOND;
     /** A standing connection is tried again this often. */
     private static final long STANDING_AGAIN = SECOND / 4, STANDING_FOR = 40 * SECOND;
     /** New connections still come this long after the last one, once this relay is told to stop. */
@@ -35,9 +39,9 @@
     private static final int MOST_EARLY = 16;
     /** A client's line that brought nothing back for so long has met a connection that is dead. */
     private static final long SILENT_LINE = 5 * SECOND;
-    /** Accepted past the limit only to be answered; beyond these a client is closed unheard. */
-    private static final int SPARE = 24;
-    private static final byte[] PONG = line("PONG"), ERR = line("ERR"), MOVE = line("MOVE");
+    /** The part of the sockets that those may hold who have opened nothing yet. */
+    private static final int SILENT_PART = 6;
+    private static final byte[] PONG = line("PONG"), ERR = line("ERR"), BUSY = line("BUSY"), MOVE = line("MOVE");
 
     private final Balancer balancer;
     private final RunValues values;
@@ -46,6 +50,10 @@
     private final Dues dues = new Dues();
     private final TreeMap<Long, Connection> bySocket = new TreeMap<>();
     private final Map<Association, Connection> byAssociation = new java.util.IdentityHashMap<>();
+    /** Those that have opened nothing yet, oldest first, and whose id is held here. */
+    private final TreeMap<Long, Connection> silent = new TreeMap<>();
+    private final Map<Long, Connection> byId = new HashMap<>();
+    private final TurnedAway turnedAway = new TurnedAway();
     private List<Effect> effects = new ArrayList<>();
     private long dialled;
     /** Sockets that are held: accepted, dialled or up. */
@@ -141,33 +149,47 @@
         Connection c = new Connection(socket);
         bySocket.put(socket, c);
         sockets++;
+        silent.put(socket, c);
         dues.set(c, now + SILENCE);
-        if (sockets > mostSockets + SPARE) {
-            // Danger: clients that connect and say nothing would use up the descriptors, and accepting would fail.
-            answer(c, line("BUSY"), now);
+        if (silent.size() > Math.max(8, mostSockets / SILENT_PART) || sockets > mostSockets) {
+            makeRoom(now);
         }
     }
 
+    /** Danger: clients that connect and say nothing would use up the descriptors; the oldest of them goes. */
+    private boolean makeRoom(long now) {
+        if (silent.isEmpty()) {
+            return false;
+        }
+        turnAway(silent.firstEntry().getValue(), "saying nothing while others come", BUSY, now);
+        return true;
+    }
+
+    private void turnAway(Connection c, Object why, byte[] last, long now) {
+        turnedAway.count(why);
+        answer(c, last, now);
+    }
+
     private void clientSaid(Connection c, FromClient line, long now) {
         switch (c.stage) {
             case SILENT -> {
-                if (line instanceof FromClient.Ping) {
+                if (line instanceof FromClient.Ping && !c.asked) {
+                    // Danger: those that ask once and stay would hold all descriptors.
+                    c.asked = true;
                     write(c.client, PONG);
-                    dues.set(c, now + SILENCE);
+                    dues.set(c, Math.min(c.due.time(), now + STAY));
                 } else if (line instanceof FromClient.Opening opening) {
                     opening(c, opening, now);
                 } else {
-                    note("a client began with what opens nothing"
-                            + (line instanceof FromClient.Malformed m ? ": " + m.why() : ""));
-                    answer(c, ERR, now);
+                    turnAway(c, line instanceof FromClient.Malformed m ? m.why() : Misuse.NO_OPENING, ERR, now);
                 }
             }
             case PLACING -> {
                 // Danger: a client that sends on and on before it is up would fill the memory.
-                if (c.early.size() < MOST_EARLY) {
+                if (line instanceof FromClient.Text && c.early.size() < MOST_EARLY) {
                     c.early.add(line.raw());
                 } else {
-                    clientLeft(c, now);
+                    misused(c, Misuse.IN_A_HURRY, now);
                 }
             }
             case OPEN -> passOn(c, line.raw(), now);
@@ -175,20 +197,22 @@
         }
     }
 
+    /** A client that asked for something sound showed that it is none of ours before it was answered. */
+    private void misused(Connection c, Misuse why, long now) {
+        balancer.clientLeft(c.association, now);
+        turnAway(c, why, ERR, now);
+    }
+
     private void opening(Connection c, FromClient.Opening opening, long now) {
-        int useCase = values.useCases().indexOf(opening.said().getOrDefault("c", ""));
-        if (useCase < 0) {
-            note("a client opened with a use case that is not known");
-            answer(c, ERR, now);
+        Connection holder = byId.get(opening.id());
+        // Danger: backends refuse an id that is open, one after the other, and all of them would look ill.
+        if (holder != null && !(opening.midFlow() && holder.opening.flow() == opening.flow())) {
+            turnAway(c, Misuse.ID_TAKEN, ERR, now);
             return;
         }
-        long wait = opening.said().containsKey("d") ? Long.parseLong(opening.said().get("d")) * MS
-                : values.cutOffs().get(useCase);
-        Association a = new Association(opening.number(), useCase,
-                Math.max(0, values.tenants().indexOf(opening.said().getOrDefault("t", ""))), opening.flow(),
-                Long.parseUnsignedLong(opening.said().getOrDefault("g", "0"), 16), now + wait - WAY_BACK,
-                Double.parseDouble(opening.said().getOrDefault("h", "0")) * 1000, opening.marked("mid"),
-                opening.marked("again"));
+        long wait = opening.millis() >= 0 ? opening.millis() * MS : values.cutOffs().get(opening.useCase());
+        Association a = new Association(opening.id(), opening.useCase(), opening.tenant(), opening.flow(),
+                opening.group(), now + wait - WAY_BACK, opening.guess() * 1000, opening.midFlow(), opening.returning());
         if (stopAt != Long.MAX_VALUE) {
             stopAt = Math.max(stopAt, now + LAST_CALL);
         }
@@ -196,18 +220,18 @@
         c.opening = opening;
         c.stage = Stage.PLACING;
         byAssociation.put(a, c);
+        byId.put(opening.id(), c);
+        silent.remove(c.client);
         dues.cancel(c);
-        String at = opening.said().get("at");
-        if (at != null) {
+        if (opening.at() != null) {
             c.standing = true;
             c.sentAt = now;
-            c.backend = Roster.id(at);
+            c.backend = Roster.id(opening.at());
             standing(c, now);
-        } else if (sockets + 1 > mostSockets) {
+        } else if (sockets + 1 > mostSockets && !makeRoom(now)) {
             // Danger: past the limit of sockets a dispatch fails after it was counted; nothing has run yet.
-            note("no socket left, turning a client away");
             balancer.clientLeft(a, now);
-            answer(c, line("BUSY"), now);
+            turnAway(c, "want of sockets", BUSY, now);
         } else {
             carryOut(c, balancer.where(a, now), now);
         }
@@ -251,7 +275,7 @@
                 dues.set(c, now + answer.time);
             }
             case WAIT -> dues.set(c, answer.time);
-            case SHED -> answer(c, answer.time > 0 ? line("BUSY " + answer.time / MS) : line("BUSY"), now);
+            case SHED -> answer(c, answer.time > 0 ? line("BUSY " + answer.time / MS) : BUSY, now);
             case FORFEIT -> answer(c, ERR, now);
             case NOTHING -> { }
         }
@@ -274,15 +298,17 @@
     }
 
     private void forget(Connection c) {
+        silent.remove(c.client);
         if (c.association != null) {
             byAssociation.remove(c.association);
+            byId.remove(c.opening.id(), c);
         }
     }
 
     /** Gives back what sockets are left, each after what was written to it. */
     private void over(Connection c, long now) {
         c.stage = Stage.OVER;
-        dues.cancel(c);
+        dues.set(c, now + LINGER);
         c.early.clear();
         c.unanswered.clear();
         if (c.backendSocket != 0) {
@@ -393,9 +419,16 @@
         if (c == null) {
             return;
         }
-        note(socket > 0 ? "a client sent what is no line" : "a backend sent what is no line");
+        if (socket < 0) {
+            note("a backend sent what is no line");
+        } else {
+            turnedAway.count(Misuse.NO_LINE);
+        }
         if (socket == c.client && c.stage == Stage.SILENT) {
             answer(c, ERR, now);
+        } else if (socket == c.client && c.stage == Stage.PLACING) {
+            balancer.clientLeft(c.association, now);
+            answer(c, ERR, now);
         } else if (socket == c.backendSocket && c.stage == Stage.PLACING) {
             settled(c, Outcome.ERROR, now);
         } else if (c.stage != Stage.OVER) {
@@ -431,6 +464,9 @@
             }
             over(c, now);
         }
+        if (c.clientGone && c.backendSocket == 0) {
+            dues.cancel(c);
+        }
     }
 
     // ---- the roster, time and the end
@@ -469,6 +505,10 @@
         if (now >= tellAt) {
             delays.tell(clients(), balancer, now);
             moveSilent(now);
+            String turned = turnedAway.line(now);
+            if (turned != null) {
+                note(turned);
+            }
             tellAt = now + Delays.TOLD_EVERY;
         }
         Chores chores = balancer.howLong(now);
@@ -493,7 +533,23 @@
 
     private void due(Connection c, long now) {
         switch (c.stage) {
-            case SILENT, OVER -> over(c, now);
+            case SILENT -> {
+                if (c.asked) {
+                    forget(c);
+                    over(c, now);
+                } else {
+                    turnAway(c, "saying nothing for two seconds", ERR, now);
+                }
+            }
+            case OVER -> {
+                // Danger: what a peer does not take in is never written, and its socket would never be given back.
+                if (c.backendSocket != 0) {
+                    effect(new Ask.Reset(c.backendSocket));
+                }
+                if (!c.clientGone) {
+                    effect(new Ask.Reset(c.client));
+                }
+            }
             case OPEN -> clientLeft(c, now);
             case PLACING -> {
                 if (c.standing) {
--- a/src/main/java/ambertrestle/relay/wire/FromClient.java
+++ b/src/main/java/ambertrestle/relay/wire/FromClient.java
@@ -3,48 +3,42 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** A client's line, decoded once. `raw` is the line as it came, with its end. */
 public sealed interface FromClient {
     byte[] raw();
 
-    /** The first line of a connection; `said` keeps names and values in the order they came in. */
-    record Opening(byte[] raw, String id, String key, Map<String, String> said) implements FromClient {
-        public long number() {
-            return Long.parseUnsignedLong(id, 16);
-        }
-
-        public long flow() {
-            return Long.parseUnsignedLong(key, 16);
-        }
-
-        public boolean marked(String name) {
-            return "1".equals(said.get(name));
-        }
-
+    /** The first line of a connection; `millis` is -1 where not said. */
+    record Opening(byte[] raw, long id, long flow, int useCase, int tenant, long millis, long group, double guess,
+            String at, boolean midFlow, boolean returning, Map<String, String> said) implements FromClient {
         /** The line that goes on to a backend: as it came, but for how long this relay waits. */
         public byte[] onwards(long millis) {
-            StringBuilder line = new StringBuilder("OPEN ").append(id).append(' ').append(key);
+            String line = Lines.text(raw);
+            StringBuilder out = new StringBuilder(line.substring(0, line.lastIndexOf(' ')));
             char between = ' ';
             for (Map.Entry<String, String> pair : said.entrySet()) {
-                line.append(between).append(pair.getKey()).append('=')
+                out.append(between).append(pair.getKey()).append('=')
                         .append(pair.getKey().equals("d") ? Long.toString(millis) : pair.getValue());
                 between = ',';
             }
-            return line.append("\r\n").toString().getBytes(StandardCharsets.UTF_8);
+            return out.append("\r\n").toString().getBytes(StandardCharsets.UTF_8);
         }
     }
 
     /** Asks whether this relay serves. */
     record Ping(byte[] raw) implements FromClient { }
 
-    /** Any other line: fine behind an opening, which it passes unread. */
+    /** Any other line: fine once a connection is up, which it passes unread. */
     record Text(byte[] raw) implements FromClient { }
 
-    /** An opening that is not one, and why. */
-    record Malformed(byte[] raw, String why) implements FromClient { }
+    /** An opening that is not one. */
+    record Malformed(byte[] raw, Misuse why) implements FromClient { }
+
+    Pattern HEX = Pattern.compile("[0-9a-fA-F]{1,16}"), MILLIS = Pattern.compile("\\d{1,9}"),
+            GUESS = Pattern.compile("\\d{1,12}(\\.\\d{1,12})?");
 
-    static FromClient decode(byte[] raw) {
+    static FromClient decode(byte[] raw, Names names) {
         String line = Lines.text(raw);
         if (line.equals("PING")) {
             return new Ping(raw);
@@ -53,31 +47,37 @@
             return new Text(raw);
         }
         String[] words = line.split(" ", -1);
-        if (line.indexOf('\ufffd') >= 0) {
-            return new Malformed(raw, "OPEN that is not UTF-8");
-        }
         if (words.length != 4) {
-            return new Malformed(raw, "OPEN with " + (words.length - 1) + " words instead of 3");
+            return new Malformed(raw, Misuse.WORDS);
         }
-        if (!hex(words[1]) || !hex(words[2])) {
-            return new Malformed(raw, "OPEN with an id or key that is not 64 bits of hex");
+        if (!fits(HEX, words[1]) || !fits(HEX, words[2])) {
+            return new Malformed(raw, Misuse.NO_ID);
         }
         Map<String, String> said = new LinkedHashMap<>();
         for (String pair : words[3].split(",", -1)) {
             int sign = pair.indexOf('=');
             if (sign < 1 || said.put(pair.substring(0, sign), pair.substring(sign + 1)) != null) {
-                return new Malformed(raw, "OPEN with a nameless or repeated value");
+                return new Malformed(raw, Misuse.VALUES);
             }
         }
-        String wait = said.getOrDefault("d", "0");
-        if (!wait.matches("\\d{1,9}") || !hex(said.getOrDefault("g", "0"))
-                || !said.getOrDefault("h", "0").matches("\\d{1,12}(\\.\\d{1,12})?")) {
-            return new Malformed(raw, "OPEN with a d, g or h that is no number");
+        String millis = said.getOrDefault("d", "0");
+        String group = said.getOrDefault("g", "0");
+        String guess = said.getOrDefault("h", "0");
+        if (line.indexOf('\ufffd') >= 0 || !fits(MILLIS, millis) || !fits(HEX, group) || !fits(GUESS, guess)) {
+            return new Malformed(raw, Misuse.VALUES);
+        }
+        int useCase = names.useCases().indexOf(said.get("c"));
+        int tenant = names.tenants().isEmpty() ? 0 : names.tenants().indexOf(said.get("t"));
+        if (useCase < 0 || tenant < 0) {
+            return new Malformed(raw, Misuse.UNKNOWN);
         }
-        return new Opening(raw, words[1], words[2], said);
+        return new Opening(raw, Long.parseUnsignedLong(words[1], 16), Long.parseUnsignedLong(words[2], 16), useCase,
+                tenant, said.containsKey("d") ? Long.parseLong(millis) : -1, Long.parseUnsignedLong(group, 16),
+                Double.parseDouble(guess), said.get("at"), "1".equals(said.get("mid")), "1".equals(said.get("again")),
+                said);
     }
 
-    private static boolean hex(String word) {
-        return word.matches("[0-9a-fA-F]{1,16}");
+    private static boolean fits(Pattern form, String word) {
+        return form.matcher(word).matches();
     }
 }
--- a/src/main/java/ambertrestle/relay/wire/Sockets.java
+++ b/src/main/java/ambertrestle/relay/wire/Sockets.java
@@ -17,13 +17,15 @@
     private final NetServer server;
     private final NetClient client;
     private final Consumer<Heard> tell;
+    private final Names names;
     private final Map<Long, LineSocket> connected = new HashMap<>();
     /** Dialled and not yet up; true once nobody wants it any more. */
     private final Map<Long, Boolean> dialled = new HashMap<>();
     private long accepted;
 
-    public Sockets(Vertx vertx, int connectMillis, Consumer<Heard> tell) {
+    public Sockets(Vertx vertx, int connectMillis, Names names, Consumer<Heard> tell) {
         this.tell = tell;
+        this.names = names;
         server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setAcceptBacklog(1024)
                 .setReuseAddress(true));
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true).setConnectTimeout(connectMillis));
@@ -39,7 +41,7 @@
         connected.put(number, new LineSocket(socket, new Owner(number) {
             @Override
             public void line(byte[] raw) {
-                tell.accept(new Heard.ClientSaid(number, FromClient.decode(raw)));
+                tell.accept(new Heard.ClientSaid(number, FromClient.decode(raw, names)));
             }
         }));
         tell.accept(new Heard.Accepted(number));
--- a/src/test/java/ambertrestle/ReducerTest.java
+++ b/src/test/java/ambertrestle/ReducerTest.java
@@ -10,6 +10,7 @@
 import ambertrestle.relay.wire.FromBackend;
 import ambertrestle.relay.wire.FromClient;
 import ambertrestle.relay.wire.Heard;
+import ambertrestle.relay.wire.Names;
 import ambertrestle.relay.wire.RosterMessage;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -18,6 +19,7 @@
 
 /** Events in, effects out; no socket. Sockets 1, 2 ... are clients', -1, -2 ... dialled. */
 class ReducerTest {
+    private static final Names NAMES = new Names(List.of("read", "mark", "pay"), List.of("x"));
     private final Scene s = new Scene();
     private boolean packetsPass = true;
     private int mostSockets = 100;
@@ -35,8 +37,8 @@
 
     private void start(String... names) {
         s.ticket.put("familyInfo.tellsDelay", "unseen");
-        reducer = new Reducer(new RunValues(s.ticket, 7, List.of("read", "mark", "pay"),
-                List.of(2000 * Scene.MS, 2000 * Scene.MS, 2000 * Scene.MS), List.of(), List.of("west"), List.of("m2"),
+        reducer = new Reducer(new RunValues(s.ticket, 7,
+                List.of(2000 * Scene.MS, 2000 * Scene.MS, 2000 * Scene.MS), List.of("west"), List.of("m2"),
                 100 * Scene.MS, mostSockets, packetsPass, new Address("r", 1)), list(3, true, names), s.now);
         happens("start", new Event.Woke());
     }
@@ -77,7 +79,7 @@
     }
 
     private void client(long socket, String line) {
-        wire("client " + socket + ": " + line, new Heard.ClientSaid(socket, FromClient.decode(raw(line))));
+        wire("client " + socket + ": " + line, new Heard.ClientSaid(socket, FromClient.decode(raw(line), NAMES)));
     }
 
     private void backend(long socket, String line) {
@@ -86,7 +88,7 @@
 
     private void opens(long socket, String list) {
         reducer.apply(new Event.OnWire(new Heard.Accepted(socket)), s.now);
-        client(socket, "OPEN " + socket + "f 0 " + list);
+        client(socket, "OPEN " + socket + "f 0 t=x," + list);
     }
 
     private void written(long socket) {
@@ -113,7 +115,7 @@
         start("s-1");
         reducer.apply(new Event.OnWire(new Heard.Accepted(1)), s.now);
         client(1, "PING");
-        opens(2, "c=read,t=x,d=2000,g=5c,z=9");
+        opens(2, "c=read,d=2000,g=5c,z=9");
         client(2, "M 1 early");
         up(-1);
         client(2, "M 2");
@@ -161,8 +163,9 @@
     @Test
     void whatIsNoOpeningIsAnsweredAndNotSentOn() throws Exception {
         start("s-1");
-        String[] bad = {"HELLO", "OPEN", "OPEN x 1 c=read", "OPEN 1 1 c=read,d=-5", "OPEN 1 1 c=other,d=9",
-            "OPEN 1 1 =read", "OPEN 1 1 c=read,c=read", "OPEN 1 1 c=read,h=x", "OPEN 1 1 c=\ufffd"};
+        String[] bad = {"HELLO", "OPEN", "OPEN 1", "OPEN x 1 c=read", "OPEN 1 1 t=x,c=read,d=-5", "OPEN 1 1 c=read,t=y",
+            "OPEN 1 1 t=x,c=other,d=9", "OPEN 1 1 =read", "OPEN 1 1 c=read,c=read", "OPEN 1 1 c=read,h=x",
+            "OPEN 1 1 c=\ufffd", "OPEN 1 1 c=read,t=x,d=", "OPEN 1 1 c=read,t=x,d=99999999999"};
         for (int i = 0; i < bad.length; i++) {
             reducer.apply(new Event.OnWire(new Heard.Accepted(i + 1)), s.now);
             client(i + 1, bad[i]);
@@ -170,10 +173,51 @@
         reducer.apply(new Event.OnWire(new Heard.Accepted(20)), s.now);
         wire("socket 20 sends no line", new Heard.Garbled(20));
         reducer.apply(new Event.OnWire(new Heard.Accepted(21)), s.now);
-        wake(10_001);
+        wake(1000);
+        wake(2000);
+        wake(6000);
         s.matches("garbage");
     }
 
+    @Test
+    void anIdThatIsOpenAndCommandsBeforeAnAnswerAreTurnedAway() throws Exception {
+        start("s-1");
+        opens(1, "c=read,d=2000");
+        reducer.apply(new Event.OnWire(new Heard.Accepted(2)), s.now);
+        client(2, "OPEN 1f 77 c=read,t=x,d=2000");
+        up(-1);
+        reducer.apply(new Event.OnWire(new Heard.Accepted(3)), s.now);
+        client(3, "OPEN 1f 77 c=read,t=x,d=2000,mid=1");
+        gone(1, false);
+        reducer.apply(new Event.OnWire(new Heard.Accepted(4)), s.now);
+        client(4, "OPEN 1f 77 c=read,t=x,d=2000");
+        client(4, "OPEN 5f 77 c=read,t=x,d=2000");
+        opens(5, "c=read,d=2000");
+        wire("socket 5 sends no line", new Heard.Garbled(5));
+        wake(1000);
+        s.matches("misuse");
+    }
+
+    @Test
+    void thoseWhoAskAndStayOrSayNothingMakeRoom() throws Exception {
+        mostSockets = 3;
+        start("s-1");
+        for (int i = 1; i < 5; i++) {
+            wire("accepted " + i, new Heard.Accepted(i));
+            client(i, "PING");
+        }
+        client(2, "PING");
+        wake(600);
+        for (int i = 1; i < 5; i++) {
+            reducer.apply(new Event.OnWire(new Heard.Gone(i, false)), s.now);
+        }
+        opens(5, "c=read,d=2000");
+        up(-1);
+        gone(-1, false);
+        wake(3600);
+        s.matches("silence");
+    }
+
     @Test
     void socketsRunOut() throws Exception {
         mostSockets = 3;
@@ -248,7 +292,7 @@
         opens(2, "c=read,d=2000");
         up(-2);
         client(1, "M 1");
-        FromClient said = FromClient.decode(raw("M"));
+        FromClient said = FromClient.decode(raw("M"), NAMES);
         FromBackend back = FromBackend.decode(raw("M"));
         for (int ms = 10; ms < 5900; ms += 10) {
             s.at(ms);
--- a/src/test/java/ambertrestle/relay/life/RunSheetTest.java
+++ b/src/test/java/ambertrestle/relay/life/RunSheetTest.java
@@ -5,8 +5,10 @@
 
 import ambertrestle.decide.Listed.Stage;
 import ambertrestle.relay.wire.Address;
+import ambertrestle.relay.wire.Names;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -38,6 +40,7 @@
         assertThat(sheet.connectMillis()).isEqualTo(150);
         assertThat(sheet.known().lines().get(0).stage()).isEqualTo(Stage.DRAINING);
         assertThat(sheet.values().seed()).isEqualTo(0xff00000000000001L);
+        assertThat(sheet.names()).isEqualTo(new Names(List.of("read it"), List.of("x")));
         assertThat(sheet.values().cutOffs()).containsExactly(2_000_000L);
         assertThat(sheet.values().messageGoal()).isEqualTo(60_000);
         assertThat(sheet.values().mostSockets()).isEqualTo(136);
--- a/src/test/java/ambertrestle/relay/wire/SocketsTest.java
+++ b/src/test/java/ambertrestle/relay/wire/SocketsTest.java
@@ -9,6 +9,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -18,7 +19,7 @@
 class SocketsTest {
     private final Vertx vertx = Vertx.vertx();
     private final LinkedBlockingQueue<Heard> heard = new LinkedBlockingQueue<>();
-    private final Sockets sockets = new Sockets(vertx, 2000, heard::add);
+    private final Sockets sockets = new Sockets(vertx, 2000, new Names(List.of("read"), List.of()), heard::add);
     private final InetAddress here = InetAddress.getLoopbackAddress();
 
     @AfterEach
