Hand all over at SIGTERM by paced moves, unless another relay seems to be away

Checked with every event logged: the other relay was up for the first 3 s and took what came. Ruled out: the roster and backends.

--- a/src/main/java/ambertrestle/relay/life/Serve.java
+++ b/src/main/java/ambertrestle/relay/life/Serve.java
@@ -150,7 +150,7 @@
         } else if (effect instanceof Effect.Note note) {
             LOG.log(Level.INFO, note.line());
         } else if (effect instanceof Effect.Stop) {
-            vertx.setTimer(50, t -> done.countDown());
+            vertx.setTimer(200, t -> done.countDown());
         }
     }
 
--- a/src/main/java/ambertrestle/relay/memory/Reducer.java
+++ b/src/main/java/ambertrestle/relay/memory/Reducer.java
@@ -36,6 +36,8 @@
     private static final long STANDING_AGAIN = SECOND / 4, STANDING_FOR = 40 * SECOND;
     /** New connections still come this long after the last one, once this relay is told to stop. */
     private static final long LAST_CALL = SECOND / 2;
+    /** The platform kills no sooner than this after it told a relay to stop, less the time to hand all over. */
+    private static final long HOLD = 3_200 * MS;
     private static final int MOST_EARLY = 16;
     /** A client's line that brought nothing back for so long has met a connection that is dead. */
     private static final long SILENT_LINE = 5 * SECOND;
@@ -65,7 +67,8 @@
     private boolean watching;
     private boolean watched;
     private int mostSockets;
-    private long stopAt = Long.MAX_VALUE;
+    private final Returns returns = new Returns();
+    private long toldToStopAt, stopAt = Long.MAX_VALUE;
     private boolean stopped;
 
     public Reducer(RunValues values, RosterMessage known, long now) {
@@ -88,6 +91,7 @@
             reread(reread, now);
         } else if (event instanceof Event.ToldToStop) {
             note("told to stop: settling " + byAssociation.size() + " associations");
+            toldToStopAt = stopAt == Long.MAX_VALUE ? now : toldToStopAt;
             stopAt = Math.min(stopAt, now + LAST_CALL);
         }
         settle(now);
@@ -216,6 +220,9 @@
         if (stopAt != Long.MAX_VALUE) {
             stopAt = Math.max(stopAt, now + LAST_CALL);
         }
+        if (opening.returning() || opening.midFlow()) {
+            returns.cameBack(opening.flow(), now);
+        }
         c.association = a;
         c.opening = opening;
         c.stage = Stage.PLACING;
@@ -382,6 +389,7 @@
     /** An open connection is over, by its backend. */
     private void backendEnded(Connection c, long now) {
         forget(c);
+        returns.endedHere(c.opening.flow(), now);
         Outcome outcome = c.saidBye ? Outcome.DONE : c.saidMove ? Outcome.CANCELLED : Outcome.RESET;
         balancer.after(c.association, c.association.dispatches - 1, outcome, true, now);
     }
@@ -578,22 +586,26 @@
             return;
         }
         forget(c);
+        returns.endedHere(c.opening.flow(), now);
         balancer.after(c.association, c.association.dispatches - 1, Outcome.CANCELLED, true, now);
         write(c.client, MOVE);
         over(c, now);
     }
 
+    /** Hands all over by moves, a quarter at a time; new connections no longer come. */
     private void stop(long now) {
-        // Danger: where packets pass through, ending cuts off all that is open; it is passed on until the platform kills.
-        if (values.packetsPass() ? !byAssociation.isEmpty()
-                : byAssociation.values().stream().anyMatch(c -> c.stage == Stage.PLACING)) {
+        // Danger: while another relay is away too, nobody could take moved clients in; here they are still served.
+        if (values.packetsPass() && now < toldToStopAt + HOLD && returns.many(byAssociation.size(), now)) {
+            stopAt = toldToStopAt + HOLD;
+            return;
+        }
+        List<Connection> open = clients().stream().filter(c -> c.stage == Stage.OPEN).toList();
+        open.stream().limit(Math.max(4, open.size() / 4)).forEach(c -> move(c, now));
+        if (!byAssociation.isEmpty()) {
             stopAt = now + LAST_CALL / 8;
             return;
         }
         stopped = true;
-        if (!values.packetsPass()) {
-            clients().forEach(c -> move(c, now));
-        }
         effects.add(new Effect.Stop());
     }
 
