Where no delay is seen, move the heaviest off a backend that the tenants' quota says is full

Checked by adding up every LOAD that crossed the sockets: one small backend at 0.7 a unit of weight held all the connections that were lost, the others 0.3; its load had grown after it was placed. Ruled out: restarts, bad clients, groups (their number a backend did not change). The quota that the settings give in connections, times the usual load of one, says what a unit of weight takes; above three fifths of it the heaviest leaves, at most once a second, and nothing new comes for 5 s.

--- a/src/main/java/ambertrestle/decide/Backend.java
+++ b/src/main/java/ambertrestle/decide/Backend.java
@@ -37,14 +37,23 @@
     long delayAt = Long.MIN_VALUE / 2;
     /** When an open connection was last broken there. */
     long brokenAt = Long.MIN_VALUE / 2;
+    /** When a connection was last asked to leave for the load told there. */
+    long lightenedAt = Long.MIN_VALUE / 2;
     /** Met on the walk in hand. */
     int mark;
     /** Holds an open connection of the key in hand, where it is the mark of that look. */
     int holds;
 
-    Backend(long id, long hash) {
+    Backend(long id) {
         this.id = id;
-        this.hash = hash;
+        hash = mix(id ^ 0x9e3779b97f4a7c15L);
+    }
+
+    /** Spreads ids and keys evenly over all 64 bits. */
+    static long mix(long z) {
+        z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
+        return z ^ (z >>> 31);
     }
 
     /** Lets the evidence about it fade to this moment. */
--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -64,9 +64,12 @@
     private final int mostDispatches, relays;
     private final boolean secondCopies, weighted, tellsDelay, unseen;
     private final long drainGrace, coldFor, fallFor, comeBack;
-    private final double coldFrom, fallMultiple;
+    private final double coldFrom, fallMultiple, quota;
     /** The shortest time in which a message is wanted, and the longest that a client waits. */
     private long shortestGoal = Long.MAX_VALUE / 4, patience;
+    /** The usual load of one connection, and how many notes of load that rests on. */
+    private double usual;
+    private int notes;
 
     private long watchAt;
     private int watchFailures;
@@ -78,7 +81,7 @@
     /** The time between two set-ups while set-ups fail all over, and the next that is free. */
     private long pace, nextSlot;
     /** Sums over the ready backends: weight and count by warmth, load, connections; pairs of one group. */
-    private double weights, warm, load;
+    private double weights, sizes, warm, load;
     private int held, occupied;
     private long pairs, summedAt, coldUntil = Long.MIN_VALUE;
     /** Backends told to be late, and those with fresh evidence; looked through instead of all. */
@@ -110,9 +113,10 @@
         watchAt = pushed ? Long.MAX_VALUE : now;
         boolean tells = Boolean.parseBoolean(jobTicket.get("limits.retryAfter"));
         comeBack = tells ? (long) JobTicket.number(jobTicket, "limits.maxRetryAfter") : 0;
-        for (String part : jobTicket.getOrDefault("familyInfo.messageAim", "").split(",")) {
-            shortestGoal = part.isEmpty() ? shortestGoal : Math.min(shortestGoal, Long.parseLong(part));
+        for (double goal : JobTicket.numbers(jobTicket, "familyInfo.messageAim")) {
+            shortestGoal = Math.min(shortestGoal, (long) goal);
         }
+        quota = Arrays.stream(JobTicket.numbers(jobTicket, "familyInfo.tenantQuotaConnections")).sum();
         relays = (int) JobTicket.number(jobTicket, "relays");
         bornAt = now;
         endedAt = now;
@@ -186,7 +190,7 @@
         mark++;
         boolean changed = false;
         for (Listed line : lines) {
-            Backend b = backends.computeIfAbsent(line.backend(), this::unknown);
+            Backend b = backends.computeIfAbsent(line.backend(), Backend::new);
             b.mark = mark;
             changed |= list(b, line, now);
         }
@@ -215,7 +219,7 @@
     /** An open connection that was passing through when this relay started. */
     public void takenOver(Association a, long backend, long now) {
         a.sent(backend, now);
-        Backend b = backends.computeIfAbsent(backend, this::unknown);
+        Backend b = backends.computeIfAbsent(backend, Backend::new);
         b.pending++;
         tally(b, 1, 0);
         hold(a, b);
@@ -235,14 +239,29 @@
     }
 
     public void loadNote(Association a, double load, long now) {
+        double grown = load - a.load;
+        a.load = load;
         if (a.place >= 0) {
-            tally(backends.get(a.sentTo[a.dispatches - 1]), 0, load - a.load);
+            Backend b = backends.get(a.sentTo[a.dispatches - 1]);
+            tally(b, 0, grown);
+            usual += (one() - usual) / Math.min(64, ++notes);
+            if (grown > 0 && now - b.lightenedAt > SECOND && laden(b, now)) {
+                b.lightenedAt = now;
+                moveOff(b, Math.max(1, b.open.size() / 6), now);
+            }
         }
-        a.load = load;
+    }
+
+    /** Danger: unseen, what grows on a backend makes all there late. Too much is where its load and what
+        others likely hold there pass three fifths of its size's part of the tenants' quota, room elsewhere. */
+    private boolean laden(Backend b, long now) {
+        double size = b.weight * warmth(b, now) / Math.max(sizes, 1e-9), room = 0.6 * quota * usual;
+        return unseen && notes > 32 && load * relays < 0.7 * room
+                && b.load * (relays + 1) / 2 + load * size * (relays - 1) / 2 > room * size;
     }
 
     public void delayNote(long backend, long delay, long now) {
-        Backend b = backends.computeIfAbsent(backend, this::unknown);
+        Backend b = backends.computeIfAbsent(backend, Backend::new);
         boolean rising = delay >= b.delay || now - b.delayAt > 3 * SECOND;
         if (delay * 3 > shortestGoal) {
             double crowd = b.crowd(one());
@@ -254,14 +273,14 @@
         b.delay = delay * 3 > shortestGoal ? delay : 0;
         b.delayAt = now;
         if (rising && delay > shortestGoal) {
-            moveOff(b, now);
+            // Danger: a hung backend keeps its connections; with more piled up than anyone waits for, all leave.
+            double some = delay > patience ? b.open.size() : b.open.size() / 6.0 + chance.nextDouble();
+            moveOff(b, (int) some, now);
         }
     }
 
     /** Danger: what piles up on an overloaded backend makes every connection there late; some must leave. */
-    private void moveOff(Backend b, long now) {
-        // Danger: a hung backend keeps its connections; with more piled up than anyone waits for, all leave.
-        int some = b.delay > patience ? b.open.size() : (int) (b.open.size() / 6.0 + chance.nextDouble());
+    private void moveOff(Backend b, int some, long now) {
         b.open.stream().filter(a -> !a.moved).sorted(Comparator.comparing(a -> -a.load)).limit(some)
                 .forEach(a -> {
                     a.moved = true;
@@ -344,7 +363,7 @@
     }
 
     private void startOrder(Association a) {
-        walked = (int) Long.remainderUnsigned(mix(a.key() != 0 ? a.key() : a.id), TABLE);
+        walked = (int) Long.remainderUnsigned(Backend.mix(a.key() != 0 ? a.key() : a.id), TABLE);
         met = 0;
         mark++;
     }
@@ -368,7 +387,7 @@
         long who = a.returning && !a.midFlow ? chance.nextLong() : a.client;
         for (double left = part; (n == 0 || left > 0.5) && inOrder(n) != null; n++) {
             double size = inOrder(n).weight * warmth(inOrder(n), now) * warm / weights;
-            double draw = -Math.log((mix(who ^ inOrder(n).hash) >>> 11) * 0x1p-53) / size;
+            double draw = -Math.log((Backend.mix(who ^ inOrder(n).hash) >>> 11) * 0x1p-53) / size;
             left -= size;
             a.part = draw < least ? n : a.part;
             least = Math.min(least, draw);
@@ -382,7 +401,7 @@
         double fair = held * unit * b.weight * warmth(b, now) / Math.max(weights, 1e-9);
         double bound = Math.max(1.25, 2 - 2 * lateShare);
         double has = b.crowd(one());
-        return now < b.fullUntil || late(b, now) || has >= limit(b, now)
+        return now < b.fullUntil || late(b, now) || now - b.lightenedAt < 5 * SECOND || has >= limit(b, now)
                 || has > bound * fair && has >= fair + bound * unit;
     }
 
@@ -399,14 +418,12 @@
 
     /** Makes the sums over the ready backends anew; between, tally keeps those of load and connections. */
     private void sum(long now) {
-        weights = 0;
-        warm = 0;
-        load = 0;
-        held = 0;
+        weights = sizes = warm = load = held = 0;
         summedAt = now;
         for (Backend b : members) {
             if (b.stage == Stage.READY) {
                 weights += b.weight * warmth(b, now);
+                sizes += b.weight;
                 warm += warmth(b, now);
                 load += b.load;
                 held += b.held();
@@ -615,10 +632,6 @@
         }
     }
 
-    private Backend unknown(long id) {
-        return new Backend(id, mix(id ^ 0x9e3779b97f4a7c15L));
-    }
-
     private boolean list(Backend b, Listed line, long now) {
         double weight = weighted && line.weight() > 0 ? line.weight() : 1;
         boolean changed = b.weight != weight || (b.stage == Stage.GONE) != (line.stage() == Stage.GONE);
@@ -657,7 +670,7 @@
                 continue;
             }
             turns[i]--;
-            int skip = (int) Long.remainderUnsigned(mix(members[i].hash), TABLE - 1) + 1;
+            int skip = (int) Long.remainderUnsigned(Backend.mix(members[i].hash), TABLE - 1) + 1;
             while (table[next[i]] != null) {
                 next[i] = (next[i] + skip) % TABLE;
             }
@@ -665,10 +678,4 @@
             filled++;
         }
     }
-
-    private static long mix(long z) {
-        z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
-        z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
-        return z ^ (z >>> 31);
-    }
 }
--- a/src/main/java/ambertrestle/decide/JobTicket.java
+++ b/src/main/java/ambertrestle/decide/JobTicket.java
@@ -23,4 +23,15 @@
         }
         return value;
     }
+
+    /** Several numbers with commas between; none where it is not there. */
+    static double[] numbers(Map<String, String> jobTicket, String name) {
+        String value = jobTicket.getOrDefault(name, "");
+        try {
+            return value.isEmpty() ? new double[0]
+                    : java.util.Arrays.stream(value.split(",")).mapToDouble(Double::parseDouble).toArray();
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("job ticket: " + name + " is not a list of numbers: " + value);
+        }
+    }
 }
--- a/src/test/java/ambertrestle/TroubleTest.java
+++ b/src/test/java/ambertrestle/TroubleTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import ambertrestle.decide.Association;
 import ambertrestle.decide.Answer.Kind;
 import ambertrestle.decide.Outcome;
 import org.junit.jupiter.api.Test;
@@ -204,4 +205,28 @@
         s.open("c", 9);
         s.matches("shedding");
     }
+
+    @Test
+    void whereNoDelayIsSeenTheHeaviestLeavesABackendThatTheQuotaSaysIsFull() throws Exception {
+        s.ticket.put("familyInfo.tellsDelay", "unseen");
+        s.ticket.put("familyInfo.tenantQuotaConnections", "40.0,10.0");
+        s.roster("1 2 3");
+        for (int i = 0; i < 12; i++) {
+            s.open("c" + i, 0);
+            for (int note = 1; note < 5; note++) {
+                s.balancer().loadNote(s.held.get("c" + i), 10 + note / 4.0, s.now);
+            }
+        }
+        s.at(2000).chores();
+        Association heavy = s.held.get("c5");
+        s.say("c5 on " + heavy.sentTo[0] + " grows to nine times the usual load");
+        s.balancer().loadNote(heavy, 90, s.now);
+        s.balancer().loadNote(heavy, 91, s.now);
+        s.chores();
+        s.after("c5", Outcome.CANCELLED, true);
+        for (int i = 20; i < 26; i++) {
+            s.open("c" + i, 0);
+        }
+        s.matches("laden");
+    }
 }
