See a hung backend within a second and a half: its longest wait is told, twice a second

Checked: lines come back within 10 ms from sound and late backends alike; Delays told the mean of waits, and the module had all leave only past the longest wait of any client (3.2 s). Where nothing at all comes back on two connections the longest wait is told now, and where no delay is seen all leave past one second.

--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -253,7 +253,7 @@
     }
 
     /** Danger: unseen, what grows on a backend makes all there late. Too much is where its load and what
-        others likely hold there pass three fifths of its size's part of the tenants' quota, room elsewhere. */
+        others likely hold there pass three fifths of its part of the tenants' quota, with room elsewhere. */
     private boolean laden(Backend b, long now) {
         double size = b.weight * warmth(b, now) / Math.max(sizes, 1e-9), room = 0.6 * quota * usual;
         return unseen && notes > 32 && load * relays < 0.7 * room
@@ -273,9 +273,9 @@
         b.delay = delay * 3 > shortestGoal ? delay : 0;
         b.delayAt = now;
         if (rising && delay > shortestGoal) {
-            // Danger: a hung backend keeps its connections; with more piled up than anyone waits for, all leave.
-            double some = delay > patience ? b.open.size() : b.open.size() / 6.0 + chance.nextDouble();
-            moveOff(b, (int) some, now);
+            // Danger: a hung backend keeps its connections; with more piled up than anyone waits, all leave.
+            boolean hangs = delay > (unseen ? SECOND : patience);
+            moveOff(b, hangs ? b.open.size() : (int) (b.open.size() / 6.0 + chance.nextDouble()), now);
         }
     }
 
--- a/src/main/java/ambertrestle/relay/memory/Delays.java
+++ b/src/main/java/ambertrestle/relay/memory/Delays.java
@@ -6,11 +6,14 @@
 
 /** How long messages take at each backend, measured from the lines that pass, and told to the module. */
 final class Delays {
-    static final long TOLD_EVERY = 1_000_000_000L;
+    static final long TOLD_EVERY = 500_000_000L;
 
     private static final class Seen {
         double sum;
         int lines;
+        /** The longest that a line waits, and how many connections have one that waits. */
+        long longest;
+        int waiting;
         boolean told;
     }
 
@@ -28,17 +31,23 @@
         seen.lines++;
     }
 
-    /** Once a second: the mean of the lines that came back, and of those that wait longer than that. */
+    /** Twice a second: the mean of the lines that came back, and of those that wait longer than is worth telling. */
     void tell(Iterable<Connection> connections, Balancer balancer, long now) {
         for (Connection c : connections) {
             if (c.stage == Connection.Stage.OPEN && !c.unanswered.isEmpty()
                     && now - c.unanswered.peek() > worthTelling) {
-                answered(c.backend, now - c.unanswered.peek());
+                long waits = now - c.unanswered.peek();
+                answered(c.backend, waits);
+                Seen seen = backends.get(c.backend);
+                seen.waiting++;
+                seen.longest = Math.max(seen.longest, waits);
             }
         }
         backends.forEach((backend, seen) -> {
             if (seen.lines > 0) {
-                double mean = seen.sum / seen.lines;
+                // Danger: where nothing at all comes back, the mean of short waits would hide for seconds that it hangs.
+                boolean silent = seen.waiting == seen.lines && seen.waiting > 1;
+                double mean = silent ? seen.longest : seen.sum / seen.lines;
                 if (mean > worthTelling || seen.told) {
                     balancer.delayNote(backend, (long) mean, now);
                 }
@@ -46,6 +55,8 @@
             }
             seen.sum = 0;
             seen.lines = 0;
+            seen.longest = 0;
+            seen.waiting = 0;
         });
     }
 }
--- a/src/main/java/ambertrestle/relay/memory/Reducer.java
+++ b/src/main/java/ambertrestle/relay/memory/Reducer.java
@@ -39,6 +39,7 @@
     /** The platform kills no sooner than this after it told a relay to stop, less the time to hand all over. */
     private static final long HOLD = 3_200 * MS;
     private static final int MOST_EARLY = 16;
+    private static final long HELD_UP = SECOND / 5;
     /** A client's line that brought nothing back for so long has met a connection that is dead. */
     private static final long SILENT_LINE = 5 * SECOND;
     /** The part of the sockets that those may hold who have opened nothing yet. */
@@ -521,13 +522,7 @@
             due(c, now);
         }
         if (now >= tellAt) {
-            delays.tell(clients(), balancer, now);
-            moveSilent(now);
-            String turned = turnedAway.line(now);
-            if (turned != null) {
-                note(turned);
-            }
-            tellAt = now + Delays.TOLD_EVERY;
+            tell(now);
         }
         Chores chores = balancer.howLong(now);
         // Danger: where the settings say that changes come by themselves, the module never asks; on sockets none come.
@@ -549,6 +544,22 @@
         }
     }
 
+    /** What is looked at twice a second. */
+    private void tell(long now) {
+        String turned = turnedAway.line(now);
+        if (turned != null) {
+            note(turned);
+        }
+        if (now - tellAt > HELD_UP) {
+            // Danger: after a stall of its own all lines seem to wait; what came meanwhile is read first.
+            tellAt = now + HELD_UP / 2;
+            return;
+        }
+        delays.tell(clients(), balancer, now);
+        moveSilent(now);
+        tellAt = now + Delays.TOLD_EVERY;
+    }
+
     private void due(Connection c, long now) {
         switch (c.stage) {
             case SILENT -> {
--- a/src/test/java/ambertrestle/ReducerTest.java
+++ b/src/test/java/ambertrestle/ReducerTest.java
@@ -291,12 +291,15 @@
         start("s-1", "s-2");
         opens(1, "c=read,d=2000,g=1");
         up(-1);
+        opens(2, "c=read,d=2000,g=1");
+        up(-2);
         s.at(100);
         client(1, "M 1");
-        wake(1000);
-        wake(2000);
-        wake(3000);
-        wake(5200);
+        s.at(400);
+        client(2, "M 1");
+        for (int ms = 500; ms <= 2000; ms += 500) {
+            wake(ms);
+        }
         gone(-1, false);
         s.matches("silent");
     }
@@ -311,12 +314,12 @@
         client(1, "M 1");
         FromClient said = FromClient.decode(raw("M"), NAMES);
         FromBackend back = FromBackend.decode(raw("M"));
-        for (int ms = 10; ms < 5900; ms += 10) {
+        for (int ms = 10; ms < 5500; ms += 10) {
             s.at(ms);
             reducer.apply(new Event.OnWire(new Heard.ClientSaid(2, said)), s.now);
             reducer.apply(new Event.OnWire(new Heard.BackendSaid(-2, back)), s.now);
         }
-        wake(6000);
+        wake(5500);
         s.matches("dead");
     }
 
