Break a silent roster watch after 3.2 s; take half of the quota's part for laden

Checked with every event logged: one relay heard nothing of a release for 6.5 s, its watch silent though a line is due every 2 s (RosterWatch waited 5 s); and a backend at half of its part of the quota was late to all it held.

--- a/src/main/java/ambertrestle/decide/Balancer.java
+++ b/src/main/java/ambertrestle/decide/Balancer.java
@@ -253,9 +253,9 @@
     }
 
     /** Danger: unseen, what grows on a backend makes all there late. Too much is where its load and what
-        others likely hold there pass three fifths of its part of the tenants' quota, with room elsewhere. */
+        others likely hold there pass half of its part of the tenants' quota, with room elsewhere. */
     private boolean laden(Backend b, long now) {
-        double size = b.weight * warmth(b, now) / Math.max(sizes, 1e-9), room = 0.6 * quota * usual;
+        double size = b.weight * warmth(b, now) / Math.max(sizes, 1e-9), room = 0.5 * quota * usual;
         return unseen && notes > 32 && load * relays < 0.7 * room
                 && b.load * (relays + 1) / 2 + load * size * (relays - 1) / 2 > room * size;
     }
--- a/src/main/java/ambertrestle/relay/wire/RosterWatch.java
+++ b/src/main/java/ambertrestle/relay/wire/RosterWatch.java
@@ -15,7 +15,7 @@
 /** Owns the one watch on the roster service; the one before is given back before the next is asked for. */
 public final class RosterWatch {
     /** An empty line comes every 2 s while nothing changes. */
-    private static final long SILENT_MILLIS = 5_000, ANSWER_MILLIS = 3_000;
+    private static final long SILENT_MILLIS = 3_200, ANSWER_MILLIS = 3_000;
     private static final int LONGEST = 8 << 20;
 
     private final Vertx vertx;
--- a/src/test/java/ambertrestle/relay/wire/SocketsTest.java
+++ b/src/test/java/ambertrestle/relay/wire/SocketsTest.java
@@ -146,6 +146,18 @@
         }
     }
 
+    @Test
+    void aWatchThatFallsSilentBreaksBeforeTwoOfItsSignsAreMissed() throws Exception {
+        try (ServerSocket service = new ServerSocket(0, 5, here)) {
+            RosterWatch watch = new RosterWatch(vertx, heard::add);
+            vertx.runOnContext(v -> watch.ask(new Address("127.0.0.1", service.getLocalPort()), 41));
+            try (Socket call = service.accept()) {
+                call.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"));
+                assertThat(heard.poll(4, TimeUnit.SECONDS)).isEqualTo(new Heard.RosterBroke("silent"));
+            }
+        }
+    }
+
     @Test
     void watchHearsPiecesOfMessagesAndTheEnd() throws Exception {
         try (ServerSocket service = new ServerSocket(0, 5, here)) {
