--- a/src/main/java/ambertrestle/relay/life/RunSheet.java
+++ b/src/main/java/ambertrestle/relay/life/RunSheet.java
@@ -40,8 +40,7 @@
         JsonObject json;
         try {
             json = new JsonObject(Files.readString(Path.of(path)));
-            json.fieldNames();
-        } catch (IOException | DecodeException | NullPointerException e) {
+        } catch (IOException | DecodeException e) {
             throw new BadSheet("BALANCER_CONFIG", "names " + path + ", which "
                     + (e instanceof IOException ? "cannot be read" : "is not JSON"));
         }
--- a/src/test/java/ambertrestle/relay/life/RunSheetTest.java
+++ b/src/test/java/ambertrestle/relay/life/RunSheetTest.java
@@ -83,5 +83,6 @@
     void namesAMissingVariableAndWhatIsNoJson() {
         assertThatThrownBy(() -> RunSheet.read(Map.of())).hasMessageStartingWith("BALANCER_CONFIG is missing");
         assertThatThrownBy(() -> read("{")).hasMessageEndingWith("which is not JSON");
+        assertThatThrownBy(() -> read("null")).hasMessageEndingWith("which is not JSON");
     }
 }
