Give the relay a command line, an operator file and a log with named events

Need: serve could only be started or refuse; faults came one at a time and log lines had no event or field to search by.

--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -29,7 +29,7 @@
  * 5. doubt: a backend with failures gets work by a draw from the posterior of its chance of success;
  * 6. pacing: time-outs with further dispatches, and set-ups spaced while they fail all over.
  */
-public final class Balancer {
+public final class Balancer implements Decisions {
     private static final long MS = 1_000_000L, SECOND = 1_000 * MS;
     /** Prime; turns keep it even to one slot: four times as many changed nothing at 138 backends. */
     private static final int TABLE = 4093;
@@ -126,6 +126,7 @@
     // ---- the three questions
 
     /** Where to send this association, which has arrived or has waited as told. */
+    @Override
     public Answer where(Association a, long now) {
         if (a.closed || a.out()) {
             return Answer.NOTHING;
@@ -149,6 +150,7 @@
     }
 
     /** What to do after this outcome of a dispatch; `finished`: the association is over. */
+    @Override
     public Answer after(Association a, int dispatch, Outcome outcome, boolean finished, long now) {
         if (dispatch < 0 || dispatch >= a.dispatches || a.fate[dispatch] != Fate.OUT) {
             return Answer.NOTHING;
@@ -167,6 +169,7 @@
     }
 
     /** How long to wait before asking again, and the chores now due. */
+    @Override
     public Chores howLong(long now) {
         Chores due = chores;
         chores = new Chores();
@@ -185,6 +188,7 @@
     // ---- what it is told
 
     /** The roster, whole or changes only; `cached`: as this relay last had it, perhaps stale. */
+    @Override
     public void roster(List<Listed> lines, boolean whole, boolean cached, long now) {
         watchFailures = 0;
         mark++;
@@ -209,6 +213,7 @@
         sum(now);
     }
 
+    @Override
     public void rosterFailed(long now) {
         note("roster call failed, asking again", now);
         // Danger: relays that ask again in step keep the roster service full and all of them fail again.
@@ -217,6 +222,7 @@
     }
 
     /** An open connection that was passing through when this relay started. */
+    @Override
     public void takenOver(Association a, long backend, long now) {
         a.sent(backend, now);
         Backend b = backends.computeIfAbsent(backend, Backend::new);
@@ -225,6 +231,7 @@
         hold(a, b);
     }
 
+    @Override
     public void established(Association a, int dispatch, long took, long now) {
         if (dispatch >= a.dispatches || a.established) {
             return;
@@ -238,6 +245,7 @@
         hold(a, b);
     }
 
+    @Override
     public void loadNote(Association a, double load, long now) {
         double grown = load - a.load;
         a.load = load;
@@ -260,6 +268,7 @@
                 && b.load * (relays + 1) / 2 + load * size * (relays - 1) / 2 > room * size;
     }
 
+    @Override
     public void delayNote(long backend, long delay, long now) {
         Backend b = backends.computeIfAbsent(backend, Backend::new);
         boolean rising = delay >= b.delay || now - b.delayAt > 3 * SECOND;
@@ -289,6 +298,7 @@
                 });
     }
 
+    @Override
     public void clientLeft(Association a, long now) {
         a.closed = true;
         if (a.out()) {
@@ -387,7 +397,7 @@
         long who = a.returning && !a.midFlow ? chance.nextLong() : a.client;
         for (double left = part; (n == 0 || left > 0.5) && inOrder(n) != null; n++) {
             double size = inOrder(n).weight * warmth(inOrder(n), now) * warm / weights;
-            double draw = -Math.log((Backend.mix(who ^ inOrder(n).hash) >>> 11) * 0x1p-53) / size;
+            double draw = -StrictMath.log((Backend.mix(who ^ inOrder(n).hash) >>> 11) * 0x1p-53) / size;
             left -= size;
             a.part = draw < least ? n : a.part;
             least = Math.min(least, draw);
@@ -557,7 +567,7 @@
     }
 
     private double ageEnded(long now) {
-        ended *= Math.exp(-(double) (now - endedAt) / (10 * SECOND));
+        ended *= StrictMath.exp(-(double) (now - endedAt) / (10 * SECOND));
         endedAt = now;
         return ended;
     }
--- a/core/src/main/java/ambertrestle/decide/UseCase.java
+++ b/core/src/main/java/ambertrestle/decide/UseCase.java
@@ -4,13 +4,13 @@
 import java.util.Map;
 
 /** What the job ticket says of one use case. In nanoseconds; scope and window for fingerprinted ones. */
-record UseCase(long goal, long cutOff, Effect effect, Scope scope, long window) {
-    enum Effect { RETRIABLE, FINGERPRINTED, BINDING }
+public record UseCase(long goal, long cutOff, Effect effect, Scope scope, long window) {
+    public enum Effect { RETRIABLE, FINGERPRINTED, BINDING }
 
     /** The backends that discard each other's repeats. */
-    enum Scope { NONE, ALL, ZONE, CELL }
+    public enum Scope { NONE, ALL, ZONE, CELL }
 
-    static UseCase read(Map<String, String> jobTicket, String of) {
+    public static UseCase read(Map<String, String> jobTicket, String of) {
         Effect effect = Effect.valueOf(JobTicket.word(jobTicket, of + "effect", "retriable", "fingerprinted",
                 "binding").toUpperCase(Locale.ROOT));
         boolean marked = effect == Effect.FINGERPRINTED;
--- a/relay/src/main/java/ambertrestle/Main.java
+++ b/relay/src/main/java/ambertrestle/Main.java
@@ -1,38 +1,24 @@
 package ambertrestle;
 
+import ambertrestle.cli.Cli;
+import ambertrestle.relay.life.Log;
 import ambertrestle.relay.life.Serve;
-import ambertrestle.simhost.SimHost;
-import ambertrestle.simhost.WireException;
-import java.io.FileDescriptor;
-import java.io.FileInputStream;
-import java.io.FileOutputStream;
-import java.io.IOException;
 
-/** Starts the one part that is named on the command line. */
+/** Starts what the command line names. */
 public final class Main {
     private Main() {}
 
     public static void main(String[] args) {
-        switch (args.length == 1 ? args[0] : "") {
-            case "serve" -> Serve.run();
-            case "simhost" -> simulate();
-            default -> {
-                System.err.println("usage: java -jar ambertrestle.jar serve|simhost");
-                System.exit(2);
+        // Danger: a relay restarts with part of a core while clients wait; it does not pay for reading options it has not.
+        if (args.length == 1 && args[0].equals("serve")) {
+            Serve.run(System.getenv(), Log.Form.TEXT);
+        } else if (args.length == 1 && args[0].equals("simhost")) {
+            int code = Cli.simulate();
+            if (code != 0) {
+                System.exit(code);
             }
-        }
-    }
-
-    private static void simulate() {
-        try {
-            FileOutputStream out = new FileOutputStream(FileDescriptor.out);
-            new SimHost(new FileInputStream(FileDescriptor.in), out).run();
-        } catch (WireException e) {
-            System.err.println("ambertrestle: " + e.getMessage());
-            System.exit(1);
-        } catch (IOException e) {
-            System.err.println("ambertrestle: reading or writing failed: " + e.getMessage());
-            System.exit(1);
+        } else {
+            System.exit(Cli.commandLine().execute(args));
         }
     }
 }
--- a/relay/src/main/java/ambertrestle/relay/life/RunSheet.java
+++ b/relay/src/main/java/ambertrestle/relay/life/RunSheet.java
@@ -1,6 +1,8 @@
 package ambertrestle.relay.life;
 
+import ambertrestle.decide.Balancer;
 import ambertrestle.relay.memory.RunValues;
+import ambertrestle.relay.sheet.Sheet;
 import ambertrestle.relay.wire.Address;
 import ambertrestle.relay.wire.Names;
 import ambertrestle.relay.wire.RosterMessage;
@@ -18,21 +20,80 @@
 import java.util.stream.Collectors;
 
 /** The one place where configuration is read, checked and given defaults. */
-record RunSheet(String name, Address listen, int connectMillis, Names names, RosterMessage known,
+public record RunSheet(String name, Address listen, int connectMillis, Names names, RosterMessage known,
         RunValues values) {
     /** Descriptors kept for the JVM's own files, the selector, the roster watch and connections being refused. */
     private static final int OWN_SOCKETS = 64;
 
-    /** Something is missing or malformed; the message names the key and what was expected. */
-    static final class BadSheet extends Exception {
+    /** Something is missing or malformed; the message names the first faulty key and what was expected. */
+    public static final class BadSheet extends Exception {
         private static final long serialVersionUID = 1L;
+        private final String key;
+        /** This one and those found after it. */
+        private final transient List<BadSheet> all = new ArrayList<>(List.of(this));
 
         BadSheet(String key, String expected) {
             super(key + " " + expected);
+            this.key = key;
         }
     }
 
-    static RunSheet read(Map<String, String> environment) throws BadSheet {
+    /** Reads on past a fault, so that one reading finds all. */
+    private static final class Faults {
+        private final List<BadSheet> found = new ArrayList<>();
+
+        private interface Reading<T> {
+            T read() throws BadSheet;
+        }
+
+        <T> T or(T otherwise, Reading<T> reading) {
+            try {
+                return reading.read();
+            } catch (BadSheet e) {
+                found.add(e);
+                return otherwise;
+            }
+        }
+
+        void end() throws BadSheet {
+            if (!found.isEmpty()) {
+                BadSheet first = found.get(0);
+                first.all.addAll(found.subList(1, found.size()));
+                throw first;
+            }
+        }
+    }
+
+    /** Every fault of the file that the environment names, with its line; empty where a relay would start with it. */
+    public static List<Sheet.Fault> faults(Map<String, String> environment) {
+        String path = environment.getOrDefault("BALANCER_CONFIG", "");
+        KeyLines lines = new KeyLines("");
+        try {
+            String text = Files.readString(Path.of(path));
+            lines = new KeyLines(text);
+            if (lines.brokenAt() > 0) {
+                return List.of(new Sheet.Fault(path, lines.brokenAt(), "", "is not JSON from here on"));
+            }
+            RunSheet sheet = read(environment);
+            new Balancer(sheet.values.jobTicket(), sheet.values.seed(), 0);
+            return List.of();
+        } catch (IOException e) {
+            return List.of(new Sheet.Fault(path, 1, "", "cannot be read"));
+        } catch (BadSheet e) {
+            List<Sheet.Fault> faults = new ArrayList<>();
+            for (BadSheet fault : e.all) {
+                String key = fault.key;
+                faults.add(new Sheet.Fault(path, lines.of(key), key, fault.getMessage().substring(key.length() + 1)));
+            }
+            return faults;
+        } catch (IllegalArgumentException e) {
+            // The module checks what it alone reads, one name at a time.
+            String said = e.getMessage().replace("job ticket: ", "");
+            return List.of(new Sheet.Fault(path, lines.of("settings." + said.split(" ")[0]), "settings:", said));
+        }
+    }
+
+    public static RunSheet read(Map<String, String> environment) throws BadSheet {
         String path = environment.get("BALANCER_CONFIG");
         if (path == null || path.isEmpty()) {
             throw new BadSheet("BALANCER_CONFIG", "is missing: expected the path of the configuration, as JSON");
@@ -47,45 +108,61 @@
         return read(environment, json);
     }
 
-    private static RunSheet read(Map<String, String> environment, JsonObject json) throws BadSheet {
-        JsonObject settings = need(part(json, "settings", JsonObject.class, null, "an object"), "settings", "an object");
+    /** The same from what was read already. */
+    public static RunSheet read(Map<String, String> environment, JsonObject json) throws BadSheet {
+        Faults all = new Faults();
+        JsonObject settings = all.or(new JsonObject(),
+                () -> need(part(json, "settings", JsonObject.class, null, "an object"), "settings", "an object"));
         Map<String, String> ticket = new HashMap<>();
         flatten(settings, "", ticket);
         // On sockets nothing tells how long a message takes at its backend, whatever the settings promise.
         ticket.put("familyInfo.tellsDelay", "unseen");
         List<Long> cutOffs = new ArrayList<>();
-        List<String> useCases = names(settings, "useCases");
+        List<String> useCases = all.or(List.of(), () -> names(settings, "useCases"));
         for (int u = 0; u < useCases.size(); u++) {
-            cutOffs.add((long) number(ticket, "useCases." + u + ".cutOff"));
+            String cutOff = "useCases." + u + ".cutOff";
+            cutOffs.add(all.or(0L, () -> (long) number(ticket, cutOff)));
         }
         long goal = Long.MAX_VALUE / 4;
         for (String part : ticket.getOrDefault("familyInfo.messageAim", "").split(",")) {
-            goal = part.isEmpty() ? goal : Math.min(goal, (long) number(part, "settings: familyInfo.messageAim"));
-        }
-        JsonObject limits = part(json, "limits", JsonObject.class, new JsonObject(), "an object");
-        String seed = need(part(json, "seed", String.class, null, "64 bits of hex"), "seed", "64 bits of hex");
-        if (!seed.matches("[0-9a-fA-F]{1,16}")) {
-            throw new BadSheet("seed", "is malformed: expected 64 bits of hex, got " + seed);
-        }
-        RosterMessage known;
-        try {
-            known = RosterMessage.decode(need(part(json, "known", JsonObject.class, null, "a list of backends"),
-                    "known", "a list of backends"));
-        } catch (IllegalArgumentException e) {
-            throw new BadSheet("known", "is malformed: " + e.getMessage());
-        }
-        int sockets = part(limits, "limits.sockets", Integer.class, 1024, "a whole number");
-        if (sockets < 2 * OWN_SOCKETS) {
-            throw new BadSheet("limits.sockets", "is too small: expected " + 2 * OWN_SOCKETS + " at least, got " + sockets);
-        }
-        RunValues values = new RunValues(ticket, Long.parseUnsignedLong(seed, 16), cutOffs,
-                names(settings, "zones"), names(settings, "machineTypes"), goal,
-                sockets - OWN_SOCKETS, (long) number(ticket, "limits.connectTimeout"), "pass".equals(ticket.get("familyInfo.mode")),
-                // Danger: the environment of a running relay never changes; a new file must win over it here.
-                address(json, "discovery", environment, "BALANCER_DISCOVERY", true));
-        return new RunSheet(environment.getOrDefault("BALANCER_NAME", part(json, "name", String.class, "relay", "a name")),
-                address(json, "listen", environment, "BALANCER_LISTEN", false),
-                (int) (number(ticket, "limits.connectTimeout") / 1e6), new Names(useCases, names(settings, "tenants")), known, values);
+            goal = Math.min(goal, all.or(goal, () -> part.isEmpty() ? Long.MAX_VALUE / 4
+                    : (long) number(part, "settings: familyInfo.messageAim")));
+        }
+        JsonObject limits = all.or(new JsonObject(), () -> part(json, "limits", JsonObject.class, new JsonObject(), "an object"));
+        String seed = all.or("0", () -> {
+            String said = need(part(json, "seed", String.class, null, "64 bits of hex"), "seed", "64 bits of hex");
+            if (!said.matches("[0-9a-fA-F]{1,16}")) {
+                throw new BadSheet("seed", "is malformed: expected 64 bits of hex, got " + said);
+            }
+            return said;
+        });
+        RosterMessage known = all.or(null, () -> {
+            try {
+                return RosterMessage.decode(need(part(json, "known", JsonObject.class, null, "a list of backends"),
+                        "known", "a list of backends"));
+            } catch (IllegalArgumentException e) {
+                throw new BadSheet("known", "is malformed: " + e.getMessage());
+            }
+        });
+        int sockets = all.or(2 * OWN_SOCKETS, () -> {
+            int said = part(limits, "limits.sockets", Integer.class, 1024, "a whole number");
+            if (said < 2 * OWN_SOCKETS) {
+                throw new BadSheet("limits.sockets", "is too small: expected " + 2 * OWN_SOCKETS + " at least, got " + said);
+            }
+            return said;
+        });
+        List<String> zones = all.or(List.of(), () -> names(settings, "zones"));
+        List<String> types = all.or(List.of(), () -> names(settings, "machineTypes"));
+        List<String> tenants = all.or(List.of(), () -> names(settings, "tenants"));
+        long connectTime = all.or(0L, () -> (long) number(ticket, "limits.connectTimeout"));
+        // Danger: the environment of a running relay never changes; a new file must win over it here.
+        Address discovery = all.or(null, () -> address(json, "discovery", environment, "BALANCER_DISCOVERY", true));
+        Address listen = all.or(null, () -> address(json, "listen", environment, "BALANCER_LISTEN", false));
+        String name = all.or("relay", () -> environment.getOrDefault("BALANCER_NAME", part(json, "name", String.class, "relay", "a name")));
+        all.end();
+        RunValues values = new RunValues(ticket, Long.parseUnsignedLong(seed, 16), cutOffs, zones, types, goal, sockets - OWN_SOCKETS,
+                connectTime, "pass".equals(ticket.get("familyInfo.mode")), discovery);
+        return new RunSheet(name, listen, (int) (connectTime / 1_000_000), new Names(useCases, tenants), known, values);
     }
 
     /** Keys that differ in a sheet read later, though a running relay keeps to what it started with. */
--- a/relay/src/main/java/ambertrestle/relay/life/Serve.java
+++ b/relay/src/main/java/ambertrestle/relay/life/Serve.java
@@ -13,18 +13,16 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
-import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import sun.misc.Signal;
 
 /** Starts one relay, carries events to the reducer and its effects to their owners, and stops it. */
 public final class Serve {
-    /** One line a happening, unless the command line says otherwise; set before the first logger is made. */
-    private static final Logger LOG = logger("java.util.logging.SimpleFormatter.format", "%4$s %5$s%6$s%n");
     /** Longer than any client waits; the platform kills sooner. */
     private static final long LONGEST_STOP_SECONDS = 30;
 
@@ -49,14 +47,15 @@
     }
 
     /** Runs until the process is told to stop; on a bad sheet or a listen address in use, exit code 1. */
-    public static void run() {
+    public static void run(Map<String, String> environment, Log.Form form) {
         RunSheet sheet;
         try {
-            sheet = RunSheet.read(System.getenv());
+            sheet = RunSheet.read(environment);
         } catch (BadSheet e) {
             fail(e.getMessage());
             return;
         }
+        Log.begin(form, sheet.name());
         Vertx vertx = Vertx.builder().withTransport(new OneLoop()).with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
                         .setFileCachingEnabled(false).setClassPathResolvingEnabled(false))).build();
@@ -69,15 +68,10 @@
         }
         Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "stop"));
         // Danger: unhandled, SIGHUP ends the JVM and with it all that is open.
-        Signal.handle(new Signal("HUP"), signal -> serve.loop.runOnContext(v -> serve.reread(sheet)));
+        Signal.handle(new Signal("HUP"), signal -> serve.loop.runOnContext(v -> serve.reread(sheet, environment)));
         serve.loop.runOnContext(v -> serve.start(sheet));
     }
 
-    private static Logger logger(String property, String format) {
-        System.setProperty(property, System.getProperty(property, format));
-        return System.getLogger("ambertrestle");
-    }
-
     private static void fail(String why) {
         System.err.println("ambertrestle: " + why);
         Runtime.getRuntime().halt(1);
@@ -88,22 +82,22 @@
                 .onFailure(e -> fail("BALANCER_LISTEN " + sheet.listen().host() + ":" + sheet.listen().port()
                         + " cannot be listened on: " + e.getMessage()))
                 .onSuccess(v -> {
-                    LOG.log(Level.INFO, sheet.name() + " serves");
+                    Log.tell(Level.INFO, "serves", sheet.name() + " serves");
                     happened(new Event.Woke());
                 });
     }
 
     /** Told by SIGHUP: the file is read again; a faulty one changes nothing. */
-    private void reread(RunSheet first) {
+    private void reread(RunSheet first, Map<String, String> environment) {
         RunSheet later;
         try {
-            later = RunSheet.read(System.getenv());
+            later = RunSheet.read(environment);
         } catch (BadSheet e) {
-            LOG.log(Level.WARNING, "the configuration stays as it was: " + e.getMessage());
+            Log.tell(Level.WARNING, "reread-refused", "the configuration stays as it was: " + e.getMessage());
             return;
         }
         List<String> keys = first.onlyAtStart(later);
-        LOG.log(Level.INFO, "the configuration was read again"
+        Log.tell(Level.INFO, "reread", "the configuration was read again"
                 + (keys.isEmpty() ? "" : "; taken over only at the next start: " + String.join(", ", keys)));
         happened(new Event.Reread(later.values().rosterAt(), later.values().mostSockets()));
     }
@@ -131,7 +125,7 @@
                 }
             } catch (RuntimeException e) {
                 // Danger: one event that fails must neither end the relay nor hold up those behind it.
-                LOG.log(Level.ERROR, "an event failed", e);
+                Log.failed("event-failed", "an event failed", e);
             }
         }
         busy = false;
@@ -149,7 +143,7 @@
             timer = vertx.setTimer(Math.max(1, (wake.time() - now() + 999_999) / 1_000_000),
                     t -> happened(new Event.Woke()));
         } else if (effect instanceof Effect.Note note) {
-            LOG.log(Level.INFO, note.line());
+            Log.tell(Level.INFO, note.event(), note.line(), note.fields());
         } else if (effect instanceof Effect.Stop) {
             vertx.setTimer(200, t -> done.countDown());
         }
--- a/relay/src/main/java/ambertrestle/relay/memory/Delays.java
+++ b/relay/src/main/java/ambertrestle/relay/memory/Delays.java
@@ -1,6 +1,6 @@
 package ambertrestle.relay.memory;
 
-import ambertrestle.decide.Balancer;
+import ambertrestle.decide.Decisions;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -32,7 +32,7 @@
     }
 
     /** Twice a second: the mean of the lines that came back, and of those that wait longer than is worth telling. */
-    void tell(Iterable<Connection> connections, Balancer balancer, long now) {
+    void tell(Iterable<Connection> connections, Decisions balancer, long now) {
         for (Connection c : connections) {
             if (c.stage == Connection.Stage.OPEN && !c.unanswered.isEmpty()
                     && now - c.unanswered.peek() > worthTelling) {
--- a/relay/src/main/java/ambertrestle/relay/memory/Effect.java
+++ b/relay/src/main/java/ambertrestle/relay/memory/Effect.java
@@ -1,6 +1,7 @@
 package ambertrestle.relay.memory;
 
 import ambertrestle.relay.wire.Ask;
+import java.util.Map;
 
 /** All that the reducer can ask for. */
 public sealed interface Effect {
@@ -9,7 +10,8 @@
     /** Instead of any earlier time. */
     record WakeAt(long time) implements Effect { }
 
-    record Note(String line) implements Effect { }
+    /** A line of the log: what happened, in words, and to whom by name. */
+    record Note(String event, String line, Map<String, String> fields) implements Effect { }
 
     /** All is settled; the program may end. */
     record Stop() implements Effect { }
--- a/relay/src/main/java/ambertrestle/relay/memory/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/memory/Reducer.java
@@ -4,6 +4,7 @@
 import ambertrestle.decide.Association;
 import ambertrestle.decide.Balancer;
 import ambertrestle.decide.Chores;
+import ambertrestle.decide.Decisions;
 import ambertrestle.decide.Outcome;
 import ambertrestle.relay.memory.Connection.Stage;
 import ambertrestle.relay.wire.Address;
@@ -46,7 +47,7 @@
     private static final int SILENT_PART = 6;
     private static final byte[] PONG = line("PONG"), ERR = line("ERR"), BUSY = line("BUSY"), MOVE = line("MOVE");
 
-    private final Balancer balancer;
+    private final Decisions balancer;
     private final RunValues values;
     private final Roster roster;
     private final Delays delays;
@@ -73,11 +74,16 @@
     private boolean stopped;
 
     public Reducer(RunValues values, RosterMessage known, long now) {
+        this(values, known, Balancer::new, now);
+    }
+
+    /** With others in the module's place, to compare it with them. */
+    public Reducer(RunValues values, RosterMessage known, Decisions.Maker decisions, long now) {
         this.values = values;
         rosterAt = values.rosterAt();
         mostSockets = values.mostSockets();
         roster = new Roster(values.zones(), values.types());
-        balancer = new Balancer(values.jobTicket(), values.seed(), now);
+        balancer = decisions.make(values.jobTicket(), values.seed(), now);
         delays = new Delays(values.messageGoal() / 3);
         tellAt = now + Delays.TOLD_EVERY;
         balancer.roster(roster.take(known), true, true, now);
@@ -91,7 +97,7 @@
         } else if (event instanceof Event.Reread reread) {
             reread(reread, now);
         } else if (event instanceof Event.ToldToStop) {
-            note("told to stop: settling " + byAssociation.size() + " associations");
+            note("told-to-stop", "told to stop: settling " + byAssociation.size() + " associations");
             toldToStopAt = stopAt == Long.MAX_VALUE ? now : toldToStopAt;
             stopAt = Math.min(stopAt, now + LAST_CALL);
         }
@@ -105,7 +111,7 @@
         } else if (heard instanceof Heard.Roster e) {
             roster(e.message(), now);
         } else if (heard instanceof Heard.RosterBroke e) {
-            note("roster watch broke: " + e.why());
+            note("roster-watch-broke", "roster watch broke: " + e.why());
             watching = false;
             balancer.rosterFailed(now);
         } else if (heard instanceof Heard.ClientSaid e) {
@@ -250,7 +256,7 @@
     private void standing(Connection c, long now) {
         String address = roster.address(c.backend);
         if (address == null || now - c.sentAt > STANDING_FOR) {
-            note("a standing connection did not find its backend");
+            note("standing-lost", "a standing connection did not find its backend", c);
             answer(c, ERR, now);
             return;
         }
@@ -439,7 +445,7 @@
             return;
         }
         if (socket < 0) {
-            note("a backend sent what is no line");
+            note("backend-garbled", "a backend sent what is no line", c);
         } else {
             turnedAway.count(Misuse.NO_LINE);
         }
@@ -492,7 +498,7 @@
 
     private void roster(RosterMessage message, long now) {
         if (!message.whole() && message.index() < roster.index) {
-            note("the roster went back from " + roster.index + " to " + message.index());
+            note("roster-went-back", "the roster went back from " + roster.index + " to " + message.index());
             roster.index = -1;
             watch();
             return;
@@ -509,7 +515,7 @@
     private void reread(Event.Reread reread, long now) {
         mostSockets = reread.mostSockets();
         if (!reread.rosterAt().equals(rosterAt)) {
-            note("the roster service is now at " + reread.rosterAt());
+            note("roster-moved", "the roster service is now at " + reread.rosterAt());
             rosterAt = reread.rosterAt();
             // Danger: what the old one still tells may be older than what the new one knows; it is left at once.
             watch();
@@ -533,7 +539,7 @@
         for (Association a : chores.moves) {
             move(byAssociation.get(a), now);
         }
-        chores.log.forEach(this::note);
+        chores.log.forEach(line -> note("decisions", line));
         if (now >= stopAt && !stopped) {
             stop(now);
         }
@@ -548,7 +554,7 @@
     private void tell(long now) {
         String turned = turnedAway.line(now);
         if (turned != null) {
-            note(turned);
+            note("turned-away", turned);
         }
         if (now - tellAt > HELD_UP) {
             // Danger: after a stall of its own all lines seem to wait; what came meanwhile is read first.
@@ -642,8 +648,18 @@
         effects.add(new Effect.OnWire(ask));
     }
 
-    private void note(String line) {
-        effects.add(new Effect.Note(line));
+    private void note(String event, String line) {
+        effects.add(new Effect.Note(event, line, Map.of()));
+    }
+
+    private void note(String event, String line, Connection c) {
+        Map<String, String> fields = new TreeMap<>();
+        if (c.opening != null) {
+            fields.put("association", Long.toHexString(c.opening.id()));
+            fields.put("useCase", c.opening.said().get("c"));
+            fields.put("backend", c.standing ? c.opening.at() : String.valueOf(roster.address(c.backend)));
+        }
+        effects.add(new Effect.Note(event, line, fields));
     }
 
     private static byte[] line(String text) {
--- a/relay/src/main/java/ambertrestle/relay/memory/Roster.java
+++ b/relay/src/main/java/ambertrestle/relay/memory/Roster.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 
 /** The roster's names turned into the module's ids, alike at every relay, and into this relay's addresses. */
-final class Roster {
+public final class Roster {
     private final Map<Long, String> addresses = new HashMap<>();
     private final List<String> zones;
     private final List<String> types;
@@ -22,7 +22,7 @@
     }
 
     /** Any name is an id: FNV-1a over its bytes, 64 bits, so that relays agree without talking. */
-    static long id(String name) {
+    public static long id(String name) {
         long hash = 0xcbf29ce484222325L;
         for (byte b : name.getBytes(StandardCharsets.UTF_8)) {
             hash = (hash ^ (b & 0xff)) * 0x100000001b3L;
--- /dev/null
+++ b/relay/src/test/java/ambertrestle/relay/life/LogTest.java
@@ -0,0 +1,78 @@
+package ambertrestle.relay.life;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.Test;
+
+class LogTest {
+    private static List<String> logged(Formatter formatter, Runnable what) {
+        List<String> lines = new ArrayList<>();
+        Handler handler = new Handler() {
+            @Override
+            public void publish(LogRecord record) {
+                lines.add(formatter.format(record));
+            }
+
+            @Override
+            public void flush() { }
+
+            @Override
+            public void close() { }
+        };
+        Logger logger = Logger.getLogger("ambertrestle");
+        logger.addHandler(handler);
+        try {
+            what.run();
+        } finally {
+            logger.removeHandler(handler);
+        }
+        return lines;
+    }
+
+    private static void garbled() {
+        Log.tell(System.Logger.Level.INFO, "backend-garbled", "a backend sent {0} \"no line\"",
+                new TreeMap<>(Map.of("association", "ff01", "backend", "b:1", "useCase", "read")));
+    }
+
+    @Test
+    void aTextLineHasTimeLevelEventWordsAndNamedFields() {
+        assertThat(logged(new Log.Text(), LogTest::garbled)).singleElement().asString().matches(
+                "\\d{4}-\\d\\d-\\d\\dT\\d\\d:\\d\\d:\\d\\d\\.\\d{3}Z INFO backend-garbled: a backend sent \\{0\\} \"no line\""
+                        + " association=ff01 backend=b:1 useCase=read\\R");
+    }
+
+    @Test
+    void aJsonLineIsOneObjectWithTheSame() {
+        List<String> lines = logged(new Log.Json(), LogTest::garbled);
+        assertThat(lines).singleElement().asString().doesNotContain("\n ");
+        JsonObject json = new JsonObject(lines.get(0));
+        assertThat(json.getString("event")).isEqualTo("backend-garbled");
+        assertThat(json.getString("message")).isEqualTo("a backend sent {0} \"no line\"");
+        assertThat(json.getString("association") + json.getString("backend") + json.getString("useCase")).isEqualTo("ff01b:1read");
+        assertThat(json.getString("level")).isEqualTo("INFO");
+        assertThat(json.getInstant("time")).isNotNull();
+    }
+
+    @Test
+    void aFailureKeepsItsTraceInOneField() {
+        assertThat(logged(new Log.Json(), () -> Log.failed("event-failed", "an event failed", new IllegalStateException("why"))))
+                .singleElement().satisfies(line -> assertThat(new JsonObject(line).getString("trace"))
+                        .startsWith("java.lang.IllegalStateException: why").contains("LogTest"));
+    }
+
+    /** What libraries log has no event of ours. */
+    @Test
+    void aLibrarysLineIsToldUnderItsLoggersName() {
+        assertThat(logged(new Log.Text(), () -> Logger.getLogger("ambertrestle.other").log(java.util.logging.Level.WARNING, "{0} left", 3)))
+                .singleElement().asString().contains("WARNING ambertrestle.other: 3 left");
+    }
+}
