Add the proving ground: a model of the fleet in virtual time, judges, baselines, reports

Need: nothing of our own could make a fleet large, break it on purpose, or show what a recovery costs. Change: lab, a module that nobody knows: TOML scenarios with fifteen kinds of trouble, the real reducer and decisions in every relay, the four rules judged from what crossed the world, five baselines and an oracle, reports and compare.

--- /dev/null
+++ b/lab/src/main/java/ambertrestle/lab/world/World.java
@@ -0,0 +1,437 @@
+package ambertrestle.lab.world;
+
+import ambertrestle.decide.Decisions;
+import ambertrestle.lab.policy.Policies;
+import ambertrestle.lab.policy.Sight;
+import ambertrestle.lab.scenario.RelayFile;
+import ambertrestle.lab.scenario.Scenario;
+import ambertrestle.lab.scenario.Scenario.Kind;
+import ambertrestle.lab.scenario.Scenario.Trouble;
+import ambertrestle.lab.scenario.Scenario.Work;
+import ambertrestle.lab.world.Meter.Series;
+import ambertrestle.relay.life.RunSheet;
+import ambertrestle.relay.memory.Effect;
+import ambertrestle.relay.memory.Event;
+import ambertrestle.relay.memory.Reducer;
+import ambertrestle.relay.memory.Roster;
+import ambertrestle.relay.wire.FromClient;
+import ambertrestle.relay.wire.RosterMessage;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.IntPredicate;
+import java.util.function.UnaryOperator;
+
+/**
+ * The model: one scenario in virtual time, in one thread, with the real reducer and the real decisions in every relay.
+ * All chance comes from the seed and nothing here reads a clock, so one file and one seed give the same run anywhere.
+ * A relay's own work takes no time here; what that costs is measured on sockets.
+ */
+public final class World implements Sight {
+    private static final long MS = 1_000_000L, SECOND = 1_000 * MS;
+    /** Unix time at the start of every run. */
+    private static final long EPOCH = 1_700_000_000L * SECOND;
+    /** Danger: work let into a store for longer than anybody waits would keep it full for good. */
+    private static final long STORE_FULL = 3 * SECOND;
+
+    final Scenario scenario;
+    final Agenda agenda = new Agenda();
+    final Judge judge;
+    final Meter meter;
+    final SplittableRandom chance;
+    final RosterNode roster = new RosterNode(this);
+    private final Decisions.Maker policy;
+    private final UnaryOperator<Program> change;
+    private final RunSheet sheet;
+    private final List<RelayNode> relays = new ArrayList<>();
+    /** Those to which the front sends. */
+    private final List<RelayNode> front = new ArrayList<>();
+    private final List<BackendNode> backends = new ArrayList<>();
+    private final Map<String, BackendNode> byName = new HashMap<>();
+    private final Map<Long, BackendNode> byId = new HashMap<>();
+    private final Map<Long, ClientLink> opened = new HashMap<>();
+    private final double[] groupShares;
+    private final List<String> happened = new ArrayList<>();
+    /** For each pair of relay and backend that is cut off, until when. */
+    private final Map<Long, Long> cutUntil = new HashMap<>();
+    private long storeUntil;
+    private double storeFactor = 1;
+    private double burst = 1;
+    private double hot;
+    private long ids;
+    private long starts;
+    private int badUnanswered;
+    private int badSent;
+
+    /** What a relay is to the world: events and the time in, effects out. */
+    public interface Program {
+        List<Effect> apply(Event event, long now);
+    }
+
+    public World(Scenario scenario, String policy, long seed) throws RunSheet.BadSheet {
+        this(scenario, sight -> Policies.named(policy, sight), program -> program, seed);
+    }
+
+    /** With decisions of any kind, and relays changed on purpose, which the judges must catch. */
+    public World(Scenario scenario, Function<Sight, Decisions.Maker> policy, UnaryOperator<Program> change, long seed)
+            throws RunSheet.BadSheet {
+        this.scenario = scenario;
+        chance = new SplittableRandom(seed);
+        judge = new Judge(scenario, 6 * scenario.network().most() + MS);
+        meter = new Meter(scenario.warmUp(), scenario.end());
+        this.policy = policy.apply(this);
+        this.change = change;
+        sheet = RunSheet.read(Map.of(), RelayFile.make(scenario, "model", "127.0.0.1:1", "127.0.0.1:2", 1,
+                new JsonObject().put("index", 0).put("snapshot", true).put("endpoints", new JsonArray())));
+        for (Scenario.Fleet fleet : scenario.fleets()) {
+            for (int i = 1; i <= fleet.count(); i++) {
+                BackendNode b = join(fleet, fleet.name() + "-" + i);
+                roster.lists(b);
+                b.startedAt = fleet.cold() ? scenario.warmUp() : b.startedAt;
+            }
+        }
+        groupShares = new double[scenario.groups().count()];
+        double sum = 0;
+        for (int g = 0; g < groupShares.length; g++) {
+            sum += 1 / StrictMath.pow(g + 1, scenario.groups().skew());
+            groupShares[g] = sum;
+        }
+    }
+
+    private BackendNode join(Scenario.Fleet fleet, String name) {
+        BackendNode b = new BackendNode(this, backends.size(), name, fleet);
+        backends.add(b);
+        byName.put(name, b);
+        byId.put(Roster.id(name), b);
+        return b;
+    }
+
+    /** Plays all; `second` hears after each second of the run how many are over. False when told to stop before the end. */
+    public boolean run(IntPredicate second) {
+        for (int i = 0; i < scenario.relays().count(); i++) {
+            RelayNode relay = new RelayNode(this, i);
+            relays.add(relay);
+            front.add(relay);
+            relay.start(roster.whole());
+        }
+        scenario.works().forEach(this::arrivals);
+        scenario.troubles().forEach(t -> agenda.at(scenario.warmUp() + t.at(), () -> begins(t)));
+        int seconds = (int) ((scenario.end() + SECOND - 1) / SECOND);
+        for (int s = 1; s <= seconds; s++) {
+            agenda.run(Math.min(scenario.end(), s * SECOND));
+            sample();
+            if (!second.test(s)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void sample() {
+        long at = agenda.now() - 1;
+        meter.add(Series.OPEN, backends.stream().mapToInt(BackendNode::open).sum(), at);
+        meter.add(Series.WORST_WAIT, backends.stream().mapToLong(BackendNode::waits).max().orElse(0) / 1e6, at);
+        meter.add(Series.MEAN_WAIT, backends.stream().mapToLong(BackendNode::waits).average().orElse(0) / 1e6, at);
+    }
+
+    // ---- clients
+
+    private void arrivals(Work work) {
+        for (int i = 0; i < work.standing(); i++) {
+            long life = scenario.end();
+            agenda.at((long) (chance.nextDouble() * scenario.warmUp() * 0.8), () -> visit(work, life));
+        }
+        if (work.rate() > 0) {
+            nextArrival(work);
+        }
+    }
+
+    /** Open loop: what comes next does not wait for what came before. */
+    private void nextArrival(Work work) {
+        agenda.after((long) (exponential() * SECOND / (work.rate() * burst)), () -> {
+            visit(work, Math.max(MS, (long) (exponential() * work.life())));
+            nextArrival(work);
+        });
+    }
+
+    private void visit(Work work, long life) {
+        long group = 0;
+        if (groupShares.length > 0) {
+            int g = hot > 0 && chance.nextDouble() < hot ? 0 : Arrays.binarySearch(groupShares,
+                    chance.nextDouble() * groupShares[groupShares.length - 1]);
+            group = mix(Math.min(groupShares.length - 1, g < 0 ? -g - 1 : g) + 1L) | 1;
+        }
+        new Visit(this, work, chance.nextLong() | 1, group, life).begin();
+    }
+
+    private double exponential() {
+        return -StrictMath.log(1 - chance.nextDouble());
+    }
+
+    private static long mix(long z) {
+        z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
+        return z ^ (z >>> 31);
+    }
+
+    long newId() {
+        return mix(++ids * 0x9e3779b97f4a7c15L);
+    }
+
+    RelayNode front() {
+        return front.isEmpty() ? null : front.get(chance.nextInt(front.size()));
+    }
+
+    void opened(ClientLink link) {
+        opened.put(link.judged.id, link);
+    }
+
+    /** Whose opening this is, also where its client has left meanwhile; null for one that no usual client sent. */
+    ClientLink client(byte[] opening) {
+        long id = 0;
+        for (int i = 5; i < opening.length && opening[i] != ' '; i++) {
+            id = id << 4 | Character.digit(opening[i], 16);
+        }
+        return opened.get(id);
+    }
+
+    FromClient decode(byte[] raw) {
+        return FromClient.decode(raw, sheet.names());
+    }
+
+    // ---- what the nodes ask of it
+
+    long now() {
+        return agenda.now();
+    }
+
+    long wall(long time) {
+        return EPOCH + time;
+    }
+
+    Program program(RosterMessage known) {
+        return change.apply(new Reducer(sheet.values().withSeed(mix(++starts * 31 + chance.nextLong())), known, policy, now())::apply);
+    }
+
+    BackendNode backend(String address) {
+        return byName.get(address);
+    }
+
+    private long way(long one, long other) {
+        Scenario.Network n = scenario.network();
+        return n.least() + Long.remainderUnsigned(mix(one * 0x9e3779b97f4a7c15L + other), n.most() - n.least() + 1);
+    }
+
+    long way(int relay, int backend) {
+        return way(relay + 1L, backend + 1_000_000L);
+    }
+
+    long clientWay(int relay, long client) {
+        return way(relay + 1L, client);
+    }
+
+    long rosterWay(int relay) {
+        return way(relay + 1L, -1L);
+    }
+
+    private static long pair(RelayNode r, BackendNode b) {
+        return (long) r.number << 32 | b.number;
+    }
+
+    /** From when on messages pass between the two. */
+    long passable(RelayNode relay, BackendNode backend) {
+        if (cutUntil.isEmpty()) {
+            return now();
+        }
+        return Math.max(now(), cutUntil.getOrDefault(pair(relay, backend), 0L));
+    }
+
+    /** When the shared store has done its part of a set-up that reaches it then. */
+    long store(long from) {
+        if (scenario.store().work() == 0) {
+            return from;
+        }
+        long begins = Math.max(from, storeUntil);
+        if (begins - now() > STORE_FULL) {
+            return begins;
+        }
+        storeUntil = begins + (long) (scenario.store().work() / (scenario.store().speed() * storeFactor));
+        return storeUntil;
+    }
+
+    double meanSetUp() {
+        return scenario.works().stream().mapToLong(Work::setUp).average().orElse(0);
+    }
+
+    @Override
+    public boolean serves(long backend) {
+        return byId.containsKey(backend) && byId.get(backend).serves();
+    }
+
+    @Override
+    public double waits(long backend) {
+        return byId.get(backend).waits();
+    }
+
+    @Override
+    public double busy(long backend) {
+        return byId.get(backend).busy();
+    }
+
+    @Override
+    public boolean holds(long backend, long group) {
+        return group == 0 || byId.get(backend).holds(group);
+    }
+
+    @Override
+    public double coldSpent(long backend) {
+        return byId.get(backend).coldSpent();
+    }
+
+    // ---- troubles
+
+    /** What happened and when, in nanoseconds from the start of the measured time. */
+    public List<String> happened() {
+        return happened;
+    }
+
+    private void note(String what) {
+        happened.add(String.format(java.util.Locale.ROOT, "%.3f s: %s", (now() - scenario.warmUp()) / 1e9, what));
+    }
+
+    /** So many that are up, drawn anew for each trouble. */
+    private <T> List<T> drawn(List<T> from, int n) {
+        List<T> left = new ArrayList<>(from);
+        List<T> drawn = new ArrayList<>();
+        while (drawn.size() < n && !left.isEmpty()) {
+            drawn.add(left.remove(chance.nextInt(left.size())));
+        }
+        return drawn;
+    }
+
+    private void struck(Trouble t, Consumer<BackendNode> begins, Consumer<BackendNode> ends) {
+        List<BackendNode> struck = drawn(backends.stream().filter(b -> !b.dead).toList(), t.backends());
+        note(t.kind().word() + " of " + struck.size() + " backends begins");
+        struck.forEach(begins);
+        if (ends != null) {
+            agenda.after(t.lasts(), () -> {
+                note(t.kind().word() + " ends");
+                struck.forEach(ends);
+            });
+        }
+    }
+
+    private void whole(Trouble t, Runnable begins, Runnable ends) {
+        note(t.kind().word() + " begins");
+        begins.run();
+        agenda.after(t.lasts(), () -> {
+            note(t.kind().word() + " ends");
+            ends.run();
+        });
+    }
+
+    private void begins(Trouble t) {
+        switch (t.kind()) {
+            case KILL -> struck(t, BackendNode::kill, BackendNode::restart);
+            case HANG -> struck(t, b -> b.hang(true), b -> b.hang(false));
+            case SLOW -> struck(t, b -> b.factor = t.factor(), b -> b.factor = 1);
+            case SILENT_ACCEPT -> struck(t, b -> b.silent(true), b -> b.silent(false));
+            case DRAIN -> struck(t, b -> b.drain(t.lasts()), null);
+            case JOIN -> {
+                note("join of " + t.backends() + " backends");
+                Scenario.Fleet fleet = scenario.fleets().get(0);
+                for (int i = 0; i < t.backends(); i++) {
+                    BackendNode b = join(fleet, fleet.name() + "-new-" + backends.size());
+                    b.startedAt = now();
+                    roster.started(b);
+                }
+            }
+            case ROSTER_LAG -> whole(t, () -> roster.lagFactor = t.factor(), () -> roster.lagFactor = 1);
+            case ROSTER_DOWN -> whole(t, () -> roster.down(true), () -> roster.down(false));
+            case RELAY_KILL -> relaysGo(t, false);
+            case RELAY_RESTART -> relaysGo(t, true);
+            case PARTITION -> {
+                List<RelayNode> here = drawn(relays, t.relays());
+                long until = now() + t.lasts();
+                struck(t, b -> here.forEach(r -> cutUntil.merge(pair(r, b), until, Math::max)), null);
+                agenda.after(t.lasts(), () -> {
+                    note("partition ends");
+                    cutUntil.values().removeIf(u -> u <= now());
+                });
+            }
+            case STORE_SLOW -> whole(t, () -> storeFactor = 1 / t.factor(), () -> storeFactor = 1);
+            case HOT_GROUP -> whole(t, () -> hot = t.factor(), () -> hot = 0);
+            case BURST -> whole(t, () -> burst = t.factor(), () -> burst = 1);
+            case BAD_CLIENTS -> whole(t, () -> badClients(t, now() + t.lasts()), () -> { });
+        }
+    }
+
+    private void relaysGo(Trouble t, boolean planned) {
+        List<RelayNode> gone = drawn(relays.stream().filter(r -> r.up).toList(), t.relays());
+        note(t.kind().word() + " of " + gone.size() + " relays begins");
+        for (RelayNode relay : gone) {
+            if (planned) {
+                relay.tellToStop();
+                agenda.after(300 * MS, () -> front.remove(relay));
+            } else {
+                relay.kill();
+                agenda.after(scenario.relays().notice(), () -> {
+                    if (!relay.up) {
+                        front.remove(relay);
+                    }
+                });
+            }
+            agenda.after(planned ? Math.max(t.lasts(), 4_500 * MS) : t.lasts(), () -> {
+                note(relay.name + " is back");
+                relay.start(null);
+                if (!front.contains(relay)) {
+                    front.add(relay);
+                }
+            });
+        }
+    }
+
+    private void badClients(Trouble t, long until) {
+        agenda.after((long) (exponential() * SECOND / t.rate()), () -> {
+            if (now() < until) {
+                RelayNode relay = front();
+                if (relay != null) {
+                    badSent++;
+                    new BadClient(this, relay, chance.nextInt(BadClient.KINDS)).connect();
+                }
+                badClients(t, until);
+            }
+        });
+    }
+
+    void badLeftAlone() {
+        badUnanswered++;
+    }
+
+    public int badUnanswered() {
+        return badUnanswered;
+    }
+
+    public int badSent() {
+        return badSent;
+    }
+
+    public Judge judge() {
+        return judge;
+    }
+
+    public Meter meter() {
+        return meter;
+    }
+
+    public long events() {
+        return agenda.done();
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/ambertrestle/lab/ScenarioTest.java
@@ -0,0 +1,73 @@
+package ambertrestle.lab;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import ambertrestle.lab.scenario.Scenario;
+import ambertrestle.lab.scenario.Scenario.Kind;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.EnumSet;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+
+class ScenarioTest {
+    @TempDir
+    private Path dir;
+
+    @Test
+    void everyKindOfTroubleIsShippedAndThreeScenariosOverlapSome() throws Exception {
+        Set<Kind> kinds = EnumSet.noneOf(Kind.class);
+        int overlapping = 0;
+        for (Path file : Worlds.shipped()) {
+            Scenario s = Scenario.read(file);
+            s.troubles().forEach(t -> kinds.add(t.kind()));
+            overlapping += s.troubles().stream().anyMatch(t -> s.troubles().stream().anyMatch(o -> o.kind() != t.kind()
+                    && o.at() < t.at() + t.lasts() && t.at() < o.at() + o.lasts())) ? 1 : 0;
+        }
+        assertThat(kinds).containsExactlyInAnyOrder(Kind.values());
+        assertThat(overlapping).isGreaterThanOrEqualTo(3);
+    }
+
+    @Test
+    void everyFaultIsNamedByFileLineAndKey() {
+        assertThatThrownBy(() -> Worlds.small("""
+                [[trouble]]
+                kind = "kil"
+                at = "1s"
+                [[trouble]]
+                kind = "slow"
+                at = "ten"
+                factor = -1
+                backend = 2
+                """)).isInstanceOf(Scenario.Faulty.class).hasMessageContaining("small.toml:23: trouble[1].kind is not known")
+                .hasMessageContaining("the nearest known is kill").hasMessageContaining("small.toml:27: trouble[2].at is malformed: expected a time")
+                .hasMessageContaining("small.toml:28: trouble[2].factor is malformed").hasMessageContaining(
+                        "small.toml:29: trouble[2].backend is not known; the nearest known is backends");
+    }
+
+    @Test
+    void aFaultyScenarioRunsNothingAndEndsWithOne() throws Exception {
+        Path file = dir.resolve("faulty.toml");
+        Files.writeString(file, Worlds.SMALL.replace("rate = 40.0", "rate = \"many\""));
+        StringWriter err = new StringWriter();
+        CommandLine line = Lab.commandLine().setErr(new PrintWriter(err));
+        assertThat(line.execute("run", file.toString(), "--out", dir.resolve("out").toString())).isEqualTo(1);
+        assertThat(err.toString()).contains("faulty.toml:15: use-case[1].rate is malformed: expected a number");
+        assertThat(dir.resolve("out")).doesNotExist();
+    }
+
+    @Test
+    void unknownPoliciesAndSeedsAreRefusedAsWrongUsage() throws Exception {
+        Path file = dir.resolve("small.toml");
+        Files.writeString(file, Worlds.SMALL);
+        StringWriter err = new StringWriter();
+        assertThat(Lab.commandLine().setErr(new PrintWriter(err)).execute("run", file.toString(), "--policy", "best")).isEqualTo(2);
+        assertThat(Lab.commandLine().setErr(new PrintWriter(err)).execute("run", file.toString(), "--seeds", "5-1")).isEqualTo(2);
+        assertThat(err.toString()).contains("--policy best is not known").contains("--seeds is malformed");
+    }
+}
