--- a/lab/src/main/java/ambertrestle/lab/report/Page.java
+++ b/lab/src/main/java/ambertrestle/lab/report/Page.java
@@ -63,7 +63,7 @@
             JsonObject f = r.figures();
             JsonObject answers = f.getJsonObject("answers");
             page.append("<tr><td>").append(text(r.policy())).append("</td><td>").append(r.seed()).append("</td><td>")
-                    .append(String.format(Locale.ROOT, "%.4f", r.share())).append(r.whole() ? "" : " (cut short)")
+                    .append(String.format(Locale.ROOT, "%.4f", r.share())).append(r.whole() ? "" : " (cut short)").append(r.starved() ? " (starved of CPU: no result)" : "")
                     .append(r.rulesKept() ? "</td><td>kept" : "</td><td class=\"broken\">broken");
             for (Series s : List.of(Series.UP, Series.BUSY, Series.ERR, Series.UNHEARD, Series.MOVED, Series.BROKEN)) {
                 page.append("</td><td>").append(answers.getLong(s.says));
--- a/lab/src/main/java/ambertrestle/lab/report/Result.java
+++ b/lab/src/main/java/ambertrestle/lab/report/Result.java
@@ -16,7 +16,7 @@
  */
 public record Result(String policy, long seed, boolean whole, JsonObject figures, List<String> happened, Meter meter) {
     public static Result of(String policy, long seed, boolean whole, Meter meter, Judge judge, List<String> happened,
-            int badSent, int badUnanswered, long events) {
+            int badSent, int badUnanswered) {
         double offered = meter.sum(Series.OFFERED);
         JsonObject answers = new JsonObject();
         for (Series s : List.of(Series.UP, Series.BUSY, Series.ERR, Series.UNHEARD, Series.REFUSED, Series.DONE, Series.BROKEN,
@@ -35,11 +35,22 @@
                 .put("dispatches", Math.round(meter.sum(Series.DISPATCHES)))
                 .put("lines", Math.round(meter.sum(Series.LINES))).put("late lines", Math.round(meter.sum(Series.LATE_LINES)))
                 .put("opening, ms", percentiles(meter.opening)).put("line, ms", percentiles(meter.line))
-                .put("bad clients", badSent).put("bad clients left alone", badUnanswered).put("events", events)
+                .put("bad clients", badSent).put("bad clients left alone", badUnanswered)
                 .put("troubles", new JsonArray(happened));
         return new Result(policy, seed, whole, figures, happened, meter);
     }
 
+    /** The same with what it cost on sockets; a starved run is marked as none. */
+    public Result withCosts(List<String> costs, boolean starved) {
+        figures.put("costs", new JsonArray(costs)).put("starved", starved);
+        return this;
+    }
+
+    /** The machine gave too little CPU for the figures to mean anything. */
+    public boolean starved() {
+        return figures.getBoolean("starved", false);
+    }
+
     public double share() {
         return figures.getDouble("share");
     }
--- a/lab/src/main/java/ambertrestle/lab/report/Summary.java
+++ b/lab/src/main/java/ambertrestle/lab/report/Summary.java
@@ -18,7 +18,8 @@
 
     private Summary() { }
 
-    public static JsonObject of(String scenario, String mode, List<Result> results) {
+    public static JsonObject of(String scenario, String mode, List<Result> all) {
+        List<Result> results = all.stream().filter(r -> !r.starved()).toList();
         JsonObject policies = new JsonObject();
         Map<String, List<Double>> shares = shares(results);
         shares.forEach((policy, list) -> policies.put(policy, new JsonObject().put("seeds", list.size())
@@ -37,7 +38,7 @@
             });
         }
         return new JsonObject().put("scenario", scenario).put("mode", mode).put("policies", policies)
-                .put("runs", new JsonArray(results.stream().map(Result::figures).toList()));
+                .put("runs", new JsonArray(all.stream().map(Result::figures).toList()));
     }
 
     private static Map<String, List<Double>> shares(List<Result> results) {
@@ -102,7 +103,7 @@
         JsonArray runs = summary.getJsonArray("runs");
         for (int i = 0; i < runs.size(); i++) {
             JsonObject run = runs.getJsonObject(i);
-            if (policy.equals(run.getString("policy"))) {
+            if (policy.equals(run.getString("policy")) && !run.getBoolean("starved", false)) {
                 shares.put(run.getLong("seed"), run.getDouble("share"));
             }
         }
--- /dev/null
+++ b/lab/src/main/java/ambertrestle/lab/standin/Cost.java
@@ -0,0 +1,175 @@
+package ambertrestle.lab.standin;
+
+import ambertrestle.lab.scenario.RelayFile;
+import ambertrestle.lab.scenario.Scenario;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.parsetools.RecordParser;
+import java.io.BufferedInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.HdrHistogram.Histogram;
+
+/**
+ * What a relay costs: openings and lines through one relay as shipped, and straight to the same stand-in backend, in turn, in
+ * one run. The client is one blocking thread, so each figure is of a relay with nothing else to do.
+ */
+public final class Cost implements AutoCloseable {
+    private static final String HOST = "127.0.0.1";
+    private static final int LONGEST_WAIT_MILLIS = 10_000;
+
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
+    private final int backend;
+    private final int relay;
+    private final Process process;
+    private long ids;
+    private final Histogram[] openings = {histogram(), histogram()};
+    private final Histogram[] lines = {histogram(), histogram()};
+
+    private static Histogram histogram() {
+        return new Histogram(60_000_000_000L, 3);
+    }
+
+    public Cost(Scenario scenario, Path jar, Path dir) throws IOException, InterruptedException {
+        try {
+            backend = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true)).connectHandler(s -> s.handler(
+                    RecordParser.newDelimited("\r\n", line -> s.write(Buffer.buffer(line.length() > 4 && line.getByte(0) == 'O' ? "UP 1\r\n" : "R\r\n")))))
+                    .listen(0, HOST).toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS).actualPort();
+            JsonObject list = new JsonObject().put("index", 1).put("snapshot", true).put("endpoints", new JsonArray().add(
+                    RelayFile.entry("s-1", HOST + ":" + backend, scenario.fleets().get(0), "in_service", 0)));
+            int roster = vertx.createHttpServer().requestHandler(r -> {
+                HttpServerResponse answer = r.response().setChunked(true);
+                answer.write(list.encode() + "\n");
+                long still = vertx.setPeriodic(1_000, t -> answer.write("\n"));
+                answer.closeHandler(v -> vertx.cancelTimer(still));
+            }).listen(0, HOST).toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS).actualPort();
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+                relay = free.getLocalPort();
+            }
+            Files.createDirectories(dir);
+            Path file = dir.resolve("cost.json");
+            Files.writeString(file, RelayFile.make(scenario, "cost", HOST + ":" + relay, HOST + ":" + roster, 1, list).encodePrettily());
+            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1", "-Xmx256m", "-Dvertx.disableDnsResolver=true", "-jar", jar.toString(), "serve");
+            builder.environment().put("BALANCER_CONFIG", file.toString());
+            process = builder.redirectErrorStream(true).redirectOutput(dir.resolve("cost.log").toFile()).start();
+            awaitPong();
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IOException("the stand-ins could not listen: " + e, e);
+        }
+    }
+
+    private void awaitPong() throws IOException, InterruptedException {
+        for (int tries = 0; tries < 400; tries++) {
+            try (Socket s = dial(relay)) {
+                s.getOutputStream().write("PING\r\n".getBytes(StandardCharsets.US_ASCII));
+                if (line(new BufferedInputStream(s.getInputStream())).equals("PONG")) {
+                    return;
+                }
+            } catch (IOException e) {
+                Thread.sleep(25);
+            }
+        }
+        throw new IOException("the relay did not answer PING within 10 s; see cost.log");
+    }
+
+    private static Socket dial(int port) throws IOException {
+        Socket s = new Socket(HOST, port);
+        s.setTcpNoDelay(true);
+        s.setSoTimeout(LONGEST_WAIT_MILLIS);
+        return s;
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder out = new StringBuilder();
+        for (int c = in.read(); c != '\n'; c = in.read()) {
+            if (c < 0) {
+                throw new EOFException("the connection ended");
+            }
+            out.append((char) c);
+        }
+        return out.toString().strip();
+    }
+
+    private void one(int through, int each, boolean counts) throws IOException {
+        long began = System.nanoTime();
+        try (Socket s = dial(through == 1 ? relay : backend)) {
+            InputStream in = new BufferedInputStream(s.getInputStream());
+            s.getOutputStream().write(("OPEN " + Long.toHexString(++ids) + " " + Long.toHexString(ids * 77) + " c=open,t=t,d=2000\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            String up = line(in);
+            if (!up.startsWith("UP")) {
+                throw new IOException("an opening was answered " + up);
+            }
+            if (counts) {
+                openings[through].recordValue(System.nanoTime() - began);
+            }
+            for (int i = 0; i < each; i++) {
+                long sent = System.nanoTime();
+                s.getOutputStream().write("L\r\n".getBytes(StandardCharsets.US_ASCII));
+                line(in);
+                if (counts) {
+                    lines[through].recordValue(System.nanoTime() - sent);
+                }
+            }
+        }
+    }
+
+    private long cpu() {
+        return process.info().totalCpuDuration().map(java.time.Duration::toNanos).orElse(0L);
+    }
+
+    /** `opens` of each kind, in turn, with `each` lines; the first fifth is warm-up. A table, one row a line. */
+    public List<String> measure(int opens, int each) throws IOException {
+        for (int i = 0; i < opens + opens / 4; i++) {
+            one(0, each, i >= opens / 4);
+            one(1, each, i >= opens / 4);
+        }
+        long before = cpu();
+        for (int i = 0; i < opens; i++) {
+            one(1, 0, false);
+        }
+        double open = (cpu() - before) / 1e3 / opens;
+        before = cpu();
+        one(1, opens, false);
+        double line = (cpu() - before) / 1e3 / opens - open / opens;
+        List<String> out = new ArrayList<>();
+        out.add(String.format(Locale.ROOT, "%-28s %10s %10s %10s", "microseconds", "p50", "p99", "p99.9"));
+        row(out, "opening, straight", openings[0]);
+        row(out, "opening, through the relay", openings[1]);
+        row(out, "line, straight", lines[0]);
+        row(out, "line, through the relay", lines[1]);
+        out.add(String.format(Locale.ROOT, "the relay's CPU: %.0f us an opening and its end, %.0f us a line and its answer", open, line));
+        return out;
+    }
+
+    private static void row(List<String> out, String name, Histogram h) {
+        out.add(String.format(Locale.ROOT, "%-28s %10.0f %10.0f %10.0f", name, h.getValueAtPercentile(50) / 1e3, h.getValueAtPercentile(99) / 1e3,
+                h.getValueAtPercentile(99.9) / 1e3));
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        process.destroyForcibly();
+        process.waitFor(5, TimeUnit.SECONDS);
+        vertx.close();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ambertrestle/lab/standin/RelayProcess.java
@@ -0,0 +1,217 @@
+package ambertrestle.lab.standin;
+
+import ambertrestle.decide.Listed.Stage;
+import ambertrestle.lab.scenario.RelayFile;
+import ambertrestle.lab.world.ClientEnd;
+import ambertrestle.lab.world.RelayEnd;
+import ambertrestle.relay.wire.RosterMessage;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.parsetools.RecordParser;
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/** Owns one relay as it is shipped: a process, its configuration file, its log, and the clients' sockets to it. */
+final class RelayProcess extends RelayEnd {
+    private static final String HOST = "127.0.0.1";
+    private static final long MS = 1_000_000L;
+
+    private final SocketWorld place;
+    private final Path jar;
+    private final Path dir;
+    private final int port;
+    final RosterServer roster;
+    private final Map<ClientEnd, NetSocket> clients = new HashMap<>();
+    /** When it was told of each backend that it drains or is gone. */
+    private final TreeMap<String, Long> drainTold = new TreeMap<>();
+    private long lastIndex = -1;
+    private final TreeMap<String, RosterMessage.Line> lastTold = new TreeMap<>();
+    private Process process;
+    private int life;
+    private long cpuBefore;
+
+    RelayProcess(SocketWorld place, int number, Path jar, Path dir) throws IOException {
+        super(place, number);
+        this.place = place;
+        this.jar = jar;
+        this.dir = dir;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+            port = free.getLocalPort();
+        }
+        roster = new RosterServer(place.vertx, place.roster, name -> place.address(name, number), this::told);
+    }
+
+    private void told(RosterMessage message) {
+        if (message.whole()) {
+            lastTold.clear();
+        }
+        lastIndex = message.index();
+        for (RosterMessage.Line line : message.lines()) {
+            if (line.stage() == Stage.READY) {
+                drainTold.remove(line.name());
+            } else {
+                drainTold.putIfAbsent(line.name(), world.now());
+            }
+            if (line.stage() == Stage.GONE) {
+                lastTold.remove(line.name());
+            } else {
+                lastTold.put(line.name(), line);
+            }
+        }
+    }
+
+    long drainTold(String backend) {
+        return drainTold.getOrDefault(backend, -1L);
+    }
+
+    @Override
+    protected void start(Runnable ready) {
+        life++;
+        if (lastIndex < 0) {
+            told(place.roster.whole());
+        }
+        RosterMessage known = new RosterMessage(lastIndex, true, List.copyOf(lastTold.values()));
+        try {
+            Path file = dir.resolve(name + ".json");
+            Files.writeString(file, RelayFile.make(place.scenario, name, HOST + ":" + port, roster.address(), place.seed * 1000 + number * 10L + life,
+                    roster.encode(known)).encodePrettily());
+            ProcessBuilder builder = new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx256m", "-Dvertx.disableDnsResolver=true", "-jar", jar.toString(), "serve"));
+            builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
+            builder.environment().put("BALANCER_CONFIG", file.toString());
+            builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(new File(dir.resolve(name + ".log").toString())));
+            process = builder.start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        awaitPong(life, ready);
+    }
+
+    /** As the front does: it is taken in once it answers PING. */
+    private void awaitPong(int mine, Runnable ready) {
+        if (life != mine || !process.isAlive()) {
+            place.relayEnded(this, process.isAlive());
+            return;
+        }
+        place.net.connect(port, HOST).onSuccess(socket -> {
+            socket.handler(answer -> {
+                if (life == mine && !up && answer.toString().startsWith("PONG")) {
+                    up = true;
+                    ready.run();
+                }
+                socket.close();
+            }).exceptionHandler(e -> { }).closeHandler(v -> {
+                if (life == mine && !up) {
+                    place.vertx.setTimer(25, t -> awaitPong(mine, ready));
+                }
+            });
+            socket.write("PING\r\n");
+        }).onFailure(e -> place.vertx.setTimer(25, t -> awaitPong(mine, ready)));
+    }
+
+    @Override
+    protected void kill() {
+        up = false;
+        life++;
+        end(true);
+    }
+
+    /** Only the process that was started here. */
+    private void end(boolean outright) {
+        if (process != null && process.isAlive()) {
+            cpuBefore += cpuNow();
+            if (outright) {
+                process.destroyForcibly();
+            } else {
+                process.destroy();
+            }
+        }
+    }
+
+    @Override
+    protected void tellToStop() {
+        int mine = life;
+        end(false);
+        world.clock.after(4_000 * MS, () -> {
+            if (life == mine) {
+                kill();
+            }
+        });
+    }
+
+    /** After {@link #kill}: returns once the process is gone. */
+    void awaitEnd() throws InterruptedException {
+        if (process != null) {
+            process.waitFor(5, TimeUnit.SECONDS);
+        }
+    }
+
+    private long cpuNow() {
+        return process == null ? 0 : process.info().totalCpuDuration().map(d -> d.toNanos()).orElse(0L);
+    }
+
+    /** CPU of all its processes, in nanoseconds. */
+    long cpu() {
+        return cpuBefore + (process != null && process.isAlive() ? cpuNow() : 0);
+    }
+
+    /** Resident memory now, in kilobytes; -1 where this machine does not tell. */
+    long residentKilobytes() {
+        try {
+            return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream().filter(l -> l.startsWith("VmRSS"))
+                    .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).findFirst().orElse(-1);
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    // ---- clients
+
+    @Override
+    protected void connect(ClientEnd client) {
+        int mine = life;
+        place.net.connect(port, HOST).onFailure(e -> client.refused()).onSuccess(socket -> {
+            clients.put(client, socket);
+            boolean[] reset = new boolean[1];
+            RecordParser lines = RecordParser.newDelimited("\r\n", line -> client.said(line.appendString("\r\n").getBytes()));
+            socket.handler(lines).exceptionHandler(e -> reset[0] = true).closeHandler(v -> {
+                if (clients.remove(client) == null) {
+                    return;
+                }
+                if (life != mine) {
+                    client.relayDied();
+                } else {
+                    client.ended(reset[0]);
+                }
+            });
+            client.accepted();
+        });
+    }
+
+    @Override
+    protected void send(ClientEnd client, byte[] raw) {
+        NetSocket socket = clients.get(client);
+        if (socket != null) {
+            socket.write(Buffer.buffer(raw));
+        }
+    }
+
+    @Override
+    protected void end(ClientEnd client) {
+        NetSocket socket = clients.remove(client);
+        if (socket != null) {
+            socket.close();
+        }
+    }
+
+}
--- /dev/null
+++ b/lab/src/main/java/ambertrestle/lab/standin/RosterServer.java
@@ -0,0 +1,82 @@
+package ambertrestle.lab.standin;
+
+import ambertrestle.decide.Listed.Stage;
+import ambertrestle.lab.world.RosterNode;
+import ambertrestle.relay.wire.RosterMessage;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.function.UnaryOperator;
+
+/** The roster service as one relay meets it: the whole list, or a watch of one JSON object a line, over HTTP. */
+final class RosterServer {
+    private static final long STILL_HERE_MILLIS = 2_000;
+
+    private final Vertx vertx;
+    private final RosterNode roster;
+    /** A backend's address as this relay has it, by the backend's name. */
+    private final UnaryOperator<String> address;
+    /** When it is told what, for the judge of drains. */
+    private final java.util.function.Consumer<RosterMessage> told;
+    private int port;
+
+    RosterServer(Vertx vertx, RosterNode roster, UnaryOperator<String> address, java.util.function.Consumer<RosterMessage> told) {
+        this.vertx = vertx;
+        this.roster = roster;
+        this.address = address;
+        this.told = told;
+    }
+
+    Future<HttpServer> listen() {
+        return vertx.createHttpServer().requestHandler(this::asked).listen(0, "127.0.0.1").onSuccess(s -> port = s.actualPort());
+    }
+
+    String address() {
+        return "127.0.0.1:" + port;
+    }
+
+    JsonObject encode(RosterMessage message) {
+        JsonArray lines = new JsonArray();
+        for (RosterMessage.Line line : message.lines()) {
+            lines.add(new JsonObject().put("name", line.name()).put("address", address.apply(line.name())).put("zone", line.zone())
+                    .put("type", line.type()).put("group", line.cell()).put("weight", line.weight()).put("since_ms", line.sinceMillis())
+                    .put("status", line.stage() == Stage.READY ? "in_service" : line.stage() == Stage.DRAINING ? "terminating" : "terminated"));
+        }
+        return new JsonObject().put("index", message.index()).put("snapshot", message.whole()).put("endpoints", lines);
+    }
+
+    private void asked(HttpServerRequest request) {
+        if (roster.isDown()) {
+            request.response().setStatusCode(503).end();
+        } else if (!request.path().equals("/v1/endpoints")) {
+            request.response().setStatusCode(404).end();
+        } else if (!"1".equals(request.getParam("stream"))) {
+            request.response().end(encode(roster.whole()).encode());
+        } else {
+            String index = request.getParam("index");
+            HttpServerResponse response = request.response().setChunked(true);
+            long still = vertx.setPeriodic(STILL_HERE_MILLIS, t -> response.write("\n"));
+            RosterNode.Watcher watcher = new RosterNode.Watcher() {
+                @Override
+                public void told(RosterMessage message) {
+                    RosterServer.this.told.accept(message);
+                    response.write(encode(message).encode() + "\n");
+                }
+
+                @Override
+                public void cutOff() {
+                    request.connection().close();
+                }
+            };
+            response.closeHandler(v -> {
+                vertx.cancelTimer(still);
+                roster.unwatch(watcher);
+            });
+            roster.watch(watcher, index == null ? -1 : Long.parseLong(index));
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ambertrestle/lab/world/RelayEnd.java
@@ -0,0 +1,34 @@
+package ambertrestle.lab.world;
+
+/** One relay as clients, backends and troubles see it: in the model or as a process. */
+public abstract class RelayEnd {
+    protected final World world;
+    public final int number;
+    public final String name;
+    /** Its process runs. */
+    protected boolean up;
+
+    protected RelayEnd(World world, int number) {
+        this.world = world;
+        this.number = number;
+        this.name = "relay-" + number;
+    }
+
+    /** Starts it, or again after a kill with the roster as it last had it; `ready` once it serves. */
+    protected abstract void start(Runnable ready);
+
+    /** A kill: what it held is reset, and it answers nothing until it starts again. */
+    protected abstract void kill();
+
+    /** A planned restart: told to stop, killed 4 s later if it is still there. */
+    protected abstract void tellToStop();
+
+    /** Connects a client, which is told that it is accepted or refused. */
+    protected abstract void connect(ClientEnd client);
+
+    /** Sends what the client says; a line has its end. */
+    protected abstract void send(ClientEnd client, byte[] raw);
+
+    /** The client ends its connection. */
+    protected abstract void end(ClientEnd client);
+}
--- a/lab/src/main/java/ambertrestle/lab/world/Visit.java
+++ b/lab/src/main/java/ambertrestle/lab/world/Visit.java
@@ -67,7 +67,7 @@
     void refused() {
         world.meter.add(Meter.Series.REFUSED, 1, world.now());
         if (refusals++ < MOST_REFUSALS) {
-            world.agenda.after(50 * MS + world.chance.nextLong(50 * MS), () -> connect(endsAt != 0));
+            world.clock.after(50 * MS + world.chance.nextLong(50 * MS), () -> connect(endsAt != 0));
         }
     }
 
@@ -87,14 +87,14 @@
         if (tries < how.retries()) {
             long wait = Math.max(1, how.backOff() << Math.min(tries, 6));
             tries++;
-            world.agenda.after(Math.max(least, wait / 2) + world.chance.nextLong(wait), () -> connect(endsAt != 0));
+            world.clock.after(Math.max(least, wait / 2) + world.chance.nextLong(wait), () -> connect(endsAt != 0));
         }
     }
 
     /** Its connection broke, or it was sent away. */
     void cutShort() {
         if (world.scenario.clients().returns()) {
-            world.agenda.after(world.chance.nextLong(Math.max(1, world.scenario.clients().returnWithin())), () -> connect(true));
+            world.clock.after(world.chance.nextLong(Math.max(1, world.scenario.clients().returnWithin())), () -> connect(true));
         }
     }
 }
