--- a/lab/src/main/java/ambertrestle/lab/world/RosterNode.java
+++ b/lab/src/main/java/ambertrestle/lab/world/RosterNode.java
@@ -22,7 +22,9 @@
     private final World world;
     private final TreeMap<String, RosterMessage.Line> listed = new TreeMap<>();
     /** What changed with each version, so that a watch can go on from where it was. */
-    private final TreeMap<Long, RosterMessage.Line> changes = new TreeMap<>();
+    private final TreeMap<Long, List<RosterMessage.Line>> changes = new TreeMap<>();
+    /** What will be told, by when. */
+    private final TreeMap<Long, List<RosterMessage.Line>> coming = new TreeMap<>();
     private final Set<Watcher> watchers = new LinkedHashSet<>();
     private long index = 1;
     private boolean down;
@@ -63,16 +65,28 @@
         change(line(b, Stage.DRAINING));
     }
 
+    /** What changes at one moment is told in one message. */
     private void change(RosterMessage.Line line) {
-        world.clock.after((long) (world.scenario.roster().lag() * lagFactor), () -> {
-            changes.put(++index, line);
-            if (line.stage() == Stage.GONE) {
-                listed.remove(line.name());
-            } else {
-                listed.put(line.name(), line);
+        long due = world.now() + (long) (world.scenario.roster().lag() * lagFactor);
+        List<RosterMessage.Line> together = coming.get(due);
+        if (together != null) {
+            together.add(line);
+            return;
+        }
+        coming.put(due, new ArrayList<>(List.of(line)));
+        world.clock.at(due, () -> {
+            List<RosterMessage.Line> lines = coming.remove(due);
+            index++;
+            for (RosterMessage.Line l : lines) {
+                changes.computeIfAbsent(index, k -> new ArrayList<>()).add(l);
+                if (l.stage() == Stage.GONE) {
+                    listed.remove(l.name());
+                } else {
+                    listed.put(l.name(), l);
+                }
             }
             long version = index;
-            List.copyOf(watchers).forEach(w -> w.told(new RosterMessage(version, false, List.of(line))));
+            List.copyOf(watchers).forEach(w -> w.told(new RosterMessage(version, false, lines)));
         });
     }
 
@@ -83,7 +97,7 @@
         }
         watchers.add(watcher);
         watcher.told(from < 0 || from > index ? whole()
-                : new RosterMessage(index, false, new ArrayList<>(changes.tailMap(from, false).values())));
+                : new RosterMessage(index, false, changes.tailMap(from, false).values().stream().flatMap(List::stream).toList()));
         return true;
     }
 
