Account for every connection of a run; plot load and what is in flight

Need: what must be shown on sockets is that all answers are accounted for; reports lacked load a backend and what is in flight. Change: each run's summary closes two accounts (answers, ends), counted where they happen and by what each client holds; both are tested to be closed in every shipped scenario and on sockets. One HeardRoster and one Daemon instead of two of each.

--- a/lab/src/main/java/ambertrestle/lab/Lab.java
+++ b/lab/src/main/java/ambertrestle/lab/Lab.java
@@ -197,7 +197,7 @@
                     tell(scenario, all.size());
                     return !stop.get();
                 });
-                results.add(Result.of("module", seed, whole, world.meter, world.judge, world.happened(), world.badSent(),
+                results.add(Result.of("module", seed, whole, world.meter, world.judge, world.happened(), world.account(), world.badSent(),
                         world.badUnanswered()).withCosts(world.costs(), world.starved()));
             }
             return results;
@@ -216,7 +216,7 @@
                 progress.put(policy + seed, second);
                 return !stop.get();
             });
-            return Result.of(policy, seed, whole, world.meter, world.judge, world.happened(), world.badSent(),
+            return Result.of(policy, seed, whole, world.meter, world.judge, world.happened(), world.account(), world.badSent(),
                     world.badUnanswered());
         }
 
@@ -328,10 +328,11 @@
                 to.flush();
                 return true;
             });
-            Result r = Result.of("module", 1, whole, world.meter, world.judge, world.happened(), 0, 0).withCosts(world.costs(), world.starved());
+            Result r = Result.of("module", 1, whole, world.meter, world.judge, world.happened(), world.account(), 0, 0).withCosts(world.costs(), world.starved());
             JsonObject summary = Summary.of(scenario.name(), "sockets", List.of(r)).put("says", scenario.says());
             Files.writeString(out.resolve("summary.json"), summary.encodePrettily() + "\n");
             Files.writeString(out.resolve("report.html"), Page.of(summary, List.of(r)));
+            to.printf("connections, warm-up included: %s%n", world.account());
             to.printf(Locale.ROOT, "share of the benefit offered: %.3f; rules %s%s%n%s%nreport: %s%n", r.share(), r.rulesKept() ? "kept" : "BROKEN",
                     r.starved() ? " (this machine gave too little CPU: no result)" : "", String.join(System.lineSeparator(), world.costs()),
                     out.resolve("report.html"));
--- a/lab/src/main/java/ambertrestle/lab/policy/Policies.java
+++ b/lab/src/main/java/ambertrestle/lab/policy/Policies.java
@@ -3,6 +3,7 @@
 import ambertrestle.decide.Association;
 import ambertrestle.decide.Balancer;
 import ambertrestle.decide.Decisions;
+import ambertrestle.lab.scenario.Spread;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -78,12 +79,6 @@
             super(ticket, seed, now);
         }
 
-        private static long mix(long z) {
-            z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
-            z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
-            return z ^ (z >>> 31);
-        }
-
         @Override
         void listed(List<Server> listed) {
             Set<Long> now = new HashSet<>(listed.stream().map(s -> s.id).toList());
@@ -94,10 +89,10 @@
             table = new Server[listed.isEmpty() ? 0 : SLOTS];
             int[] next = new int[listed.size()];
             for (int i = 0; i < next.length; i++) {
-                next[i] = (int) Long.remainderUnsigned(mix(listed.get(i).id + 1), SLOTS);
+                next[i] = (int) Long.remainderUnsigned(Spread.mix(listed.get(i).id + 1), SLOTS);
             }
             for (int filled = 0, i = 0; filled < table.length; filled++, i = (i + 1) % next.length) {
-                int skip = (int) Long.remainderUnsigned(mix(listed.get(i).id + 2), SLOTS - 1) + 1;
+                int skip = (int) Long.remainderUnsigned(Spread.mix(listed.get(i).id + 2), SLOTS - 1) + 1;
                 while (table[next[i]] != null) {
                     next[i] = (next[i] + skip) % SLOTS;
                 }
@@ -109,7 +104,7 @@
         Server pick(Association a, List<Server> fit) {
             Set<Long> ids = new HashSet<>();
             fit.forEach(s -> ids.add(s.id));
-            int slot = (int) Long.remainderUnsigned(mix(a.key() != 0 ? a.key() : a.id), SLOTS);
+            int slot = (int) Long.remainderUnsigned(Spread.mix(a.key() != 0 ? a.key() : a.id), SLOTS);
             while (!ids.contains(table[slot].id)) {
                 slot = (slot + 1) % SLOTS;
             }
--- a/lab/src/main/java/ambertrestle/lab/report/Page.java
+++ b/lab/src/main/java/ambertrestle/lab/report/Page.java
@@ -23,7 +23,8 @@
             new Plot("Answers by kind", "a second", List.of(Series.UP, Series.BUSY, Series.ERR, Series.UNHEARD, Series.REFUSED)),
             new Plot("Opens, reconnects and dispatches", "a second", List.of(Series.OPENS, Series.RETURNS, Series.DISPATCHES)),
             new Plot("Ends of open connections", "a second", List.of(Series.DONE, Series.MOVED, Series.BROKEN)),
-            new Plot("Open at backends", "connections", List.of(Series.OPEN)),
+            new Plot("Open at backends, and in flight", "connections", List.of(Series.OPEN, Series.WAITING)),
+            new Plot("Load at backends by what is open there", "% of speed", List.of(Series.BUSIEST, Series.MEAN_BUSY)),
             new Plot("Queues at backends", "ms", List.of(Series.WORST_WAIT, Series.MEAN_WAIT)),
             new Plot("Lines", "a second", List.of(Series.LINES, Series.LATE_LINES)));
 
--- a/lab/src/main/java/ambertrestle/lab/report/Result.java
+++ b/lab/src/main/java/ambertrestle/lab/report/Result.java
@@ -6,7 +6,9 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -16,7 +18,7 @@
  */
 public record Result(String policy, long seed, boolean whole, JsonObject figures, List<String> happened, Meter meter) {
     public static Result of(String policy, long seed, boolean whole, Meter meter, Judge judge, List<String> happened,
-            int badSent, int badUnanswered) {
+            Map<String, Long> account, int badSent, int badUnanswered) {
         double offered = meter.sum(Series.OFFERED);
         JsonObject answers = new JsonObject();
         for (Series s : List.of(Series.UP, Series.BUSY, Series.ERR, Series.UNHEARD, Series.REFUSED, Series.DONE, Series.BROKEN,
@@ -29,7 +31,7 @@
                 .put("benefit", round(meter.sum(Series.BENEFIT))).put("offered", round(offered))
                 .put("share", round(offered == 0 ? 0 : meter.sum(Series.BENEFIT) / offered))
                 .put("rules kept", judge.kept()).put("breaches", rules).put("first breaches", new JsonArray(judge.breaches()))
-                .put("answers", answers).put("opens", Math.round(meter.sum(Series.OPENS)))
+                .put("answers", answers).put("account, warm-up included", new JsonObject(new LinkedHashMap<>(account))).put("opens", Math.round(meter.sum(Series.OPENS)))
                 .put("reconnects", Math.round(meter.sum(Series.RETURNS)))
                 .put("most reconnects in a second", Math.round(Arrays.stream(meter.series(Series.RETURNS)).max().orElse(0)))
                 .put("dispatches", Math.round(meter.sum(Series.DISPATCHES)))
--- a/lab/src/main/java/ambertrestle/lab/standin/BackendSockets.java
+++ b/lab/src/main/java/ambertrestle/lab/standin/BackendSockets.java
@@ -31,7 +31,7 @@
  * What the backend does with a connection is the world's {@link BackendNode}, the same as in the model.
  */
 final class BackendSockets {
-    private static final String HOST = "127.0.0.1";
+    private static final String HOST = Daemon.HOST;
     private static final int BACKLOG = 64, LONGEST = 4096;
     /** Shorter delays than this are the loopback's own. */
     private static final long LEAST_DELAY = 1_000_000L;
--- a/lab/src/main/java/ambertrestle/lab/standin/Cost.java
+++ b/lab/src/main/java/ambertrestle/lab/standin/Cost.java
@@ -14,8 +14,6 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -33,7 +31,7 @@
  * one run. The client is one blocking thread, so each figure is of a relay with nothing else to do.
  */
 public final class Cost implements AutoCloseable {
-    private static final String HOST = "127.0.0.1";
+    private static final String HOST = Daemon.HOST;
     private static final int LONGEST_WAIT_MILLIS = 10_000;
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
@@ -61,16 +59,11 @@
                 long still = vertx.setPeriodic(1_000, t -> answer.write("\n"));
                 answer.closeHandler(v -> vertx.cancelTimer(still));
             }).listen(0, HOST).toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS).actualPort();
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-                relay = free.getLocalPort();
-            }
+            relay = Daemon.freePort();
             Files.createDirectories(dir);
             Path file = dir.resolve("cost.json");
             Files.writeString(file, RelayFile.make(scenario, "cost", HOST + ":" + relay, HOST + ":" + roster, 1, list).encodePrettily());
-            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                    "-XX:TieredStopAtLevel=1", "-Xmx256m", "-Dvertx.disableDnsResolver=true", "-jar", jar.toString(), "serve");
-            builder.environment().put("BALANCER_CONFIG", file.toString());
-            process = builder.redirectErrorStream(true).redirectOutput(dir.resolve("cost.log").toFile()).start();
+            process = Daemon.start(jar, file, dir.resolve("cost.log"));
             awaitPong();
         } catch (ExecutionException | TimeoutException e) {
             throw new IOException("the stand-ins could not listen: " + e, e);
--- a/lab/src/main/java/ambertrestle/lab/standin/RelayProcess.java
+++ b/lab/src/main/java/ambertrestle/lab/standin/RelayProcess.java
@@ -1,29 +1,23 @@
 package ambertrestle.lab.standin;
 
-import ambertrestle.decide.Listed.Stage;
 import ambertrestle.lab.scenario.RelayFile;
 import ambertrestle.lab.world.ClientEnd;
+import ambertrestle.lab.world.HeardRoster;
 import ambertrestle.lab.world.RelayEnd;
-import ambertrestle.relay.wire.RosterMessage;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.parsetools.RecordParser;
-import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 /** Owns one relay as it is shipped: a process, its configuration file, its log, and the clients' sockets to it. */
 final class RelayProcess extends RelayEnd {
-    private static final String HOST = "127.0.0.1";
+    private static final String HOST = Daemon.HOST;
     private static final long MS = 1_000_000L;
 
     private final SocketWorld place;
@@ -32,10 +26,7 @@
     private final int port;
     final RosterServer roster;
     private final Map<ClientEnd, NetSocket> clients = new HashMap<>();
-    /** When it was told of each backend that it drains or is gone. */
-    private final TreeMap<String, Long> drainTold = new TreeMap<>();
-    private long lastIndex = -1;
-    private final TreeMap<String, RosterMessage.Line> lastTold = new TreeMap<>();
+    private final HeardRoster heard = new HeardRoster();
     private Process process;
     private int life;
     private long cpuBefore;
@@ -45,52 +36,25 @@
         this.place = place;
         this.jar = jar;
         this.dir = dir;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-            port = free.getLocalPort();
-        }
-        roster = new RosterServer(place.vertx, place.roster, name -> place.address(name, number), this::told);
-    }
-
-    private void told(RosterMessage message) {
-        if (message.whole()) {
-            lastTold.clear();
-        }
-        lastIndex = message.index();
-        for (RosterMessage.Line line : message.lines()) {
-            if (line.stage() == Stage.READY) {
-                drainTold.remove(line.name());
-            } else {
-                drainTold.putIfAbsent(line.name(), world.now());
-            }
-            if (line.stage() == Stage.GONE) {
-                lastTold.remove(line.name());
-            } else {
-                lastTold.put(line.name(), line);
-            }
-        }
+        port = Daemon.freePort();
+        roster = new RosterServer(place.vertx, place.roster, name -> place.address(name, number), message -> heard.take(message, place.now()));
     }
 
     long drainTold(String backend) {
-        return drainTold.getOrDefault(backend, -1L);
+        return heard.drainTold(backend);
     }
 
     @Override
     protected void start(Runnable ready) {
         life++;
-        if (lastIndex < 0) {
-            told(place.roster.whole());
+        if (heard.isEmpty()) {
+            heard.take(place.roster.whole(), world.now());
         }
-        RosterMessage known = new RosterMessage(lastIndex, true, List.copyOf(lastTold.values()));
         try {
             Path file = dir.resolve(name + ".json");
             Files.writeString(file, RelayFile.make(place.scenario, name, HOST + ":" + port, roster.address(), place.seed * 1000 + number * 10L + life,
-                    roster.encode(known)).encodePrettily());
-            ProcessBuilder builder = new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx256m", "-Dvertx.disableDnsResolver=true", "-jar", jar.toString(), "serve"));
-            builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
-            builder.environment().put("BALANCER_CONFIG", file.toString());
-            builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(new File(dir.resolve(name + ".log").toString())));
-            process = builder.start();
+                    roster.encode(heard.known())).encodePrettily());
+            process = Daemon.start(jar, file, dir.resolve(name + ".log"));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/lab/src/main/java/ambertrestle/lab/standin/RosterServer.java
+++ b/lab/src/main/java/ambertrestle/lab/standin/RosterServer.java
@@ -32,11 +32,11 @@
     }
 
     Future<HttpServer> listen() {
-        return vertx.createHttpServer().requestHandler(this::asked).listen(0, "127.0.0.1").onSuccess(s -> port = s.actualPort());
+        return vertx.createHttpServer().requestHandler(this::asked).listen(0, Daemon.HOST).onSuccess(s -> port = s.actualPort());
     }
 
     String address() {
-        return "127.0.0.1:" + port;
+        return Daemon.HOST + ":" + port;
     }
 
     JsonObject encode(RosterMessage message) {
--- a/lab/src/main/java/ambertrestle/lab/world/ClientLink.java
+++ b/lab/src/main/java/ambertrestle/lab/world/ClientLink.java
@@ -33,9 +33,11 @@
     }
 
     void connect() {
+        world.opened(this);
+        world.waits(1);
         relay = world.front();
         if (relay == null) {
-            visit.refused();
+            refused();
             return;
         }
         relay.connect(this);
@@ -48,6 +50,7 @@
 
     @Override
     public void refused() {
+        enter(Stage.OVER);
         visit.refused();
     }
 
@@ -56,7 +59,6 @@
         String line = "OPEN " + Long.toHexString(judged.id) + " " + Long.toHexString(visit.client) + " c=" + visit.work.name()
                 + ",t=t,d=" + visit.work.cutOff() / 1_000_000 + (visit.group != 0 ? ",g=" + Long.toHexString(visit.group) : "")
                 + (retry ? ",r=1" : "") + (returning ? ",again=1" : "") + "\r\n";
-        world.opened(this);
         relay.send(this, line.getBytes(StandardCharsets.UTF_8));
         world.clock.after(visit.work.cutOff(), this::patienceUp);
     }
@@ -72,8 +74,21 @@
         }
     }
 
+    boolean waits() {
+        return stage == Stage.WAITING;
+    }
+
+    boolean isUp() {
+        return stage == Stage.UP;
+    }
+
+    private void enter(Stage next) {
+        world.waits(stage == Stage.WAITING ? -1 : 0);
+        stage = next;
+    }
+
     private void over() {
-        stage = Stage.OVER;
+        enter(Stage.OVER);
     }
 
     // ---- from the relay
@@ -94,7 +109,7 @@
         boolean shed = first == 'B';
         world.judge.answered(judged, shed, world.now());
         if (first == 'U') {
-            stage = Stage.UP;
+            enter(Stage.UP);
             visit.cameUp();
             nextLine(world.now() + visit.work.every());
         } else if (shed) {
--- a/lab/src/main/java/ambertrestle/lab/world/Meter.java
+++ b/lab/src/main/java/ambertrestle/lab/world/Meter.java
@@ -1,6 +1,7 @@
 package ambertrestle.lab.world;
 
 import java.util.Arrays;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.HdrHistogram.Histogram;
@@ -12,6 +13,7 @@
         OFFERED("benefit offered"), BENEFIT("benefit"), OPENS("opens"), RETURNS("reconnects"), UP("up"), BUSY("shed"),
         ERR("forfeited"), UNHEARD("no answer"), REFUSED("not connected"), DONE("done"), BROKEN("broken"), MOVED("moved"),
         LINES("lines"), LATE_LINES("late lines"), DISPATCHES("dispatches"), OPEN("open connections"),
+        WAITING("waiting for an answer"), BUSIEST("busiest backend, % of its speed"), MEAN_BUSY("mean of backends, %"),
         WORST_WAIT("longest queue at a backend, ms"), MEAN_WAIT("mean queue at backends, ms");
 
         public final String says;
@@ -24,6 +26,8 @@
     private static final long SECOND = 1_000_000_000L;
     private final long from;
     private final Map<Series, double[]> series = new LinkedHashMap<>();
+    /** All that was ever added, the warm-up's too: what the account of answers is made from. */
+    private final EnumMap<Series, Double> ever = new EnumMap<>(Series.class);
     /** From when the client wanted it (its first try) to UP; from when a line was due to its answer. Microseconds. */
     public final Histogram opening = new Histogram(600_000_000L, 3);
     public final Histogram line = new Histogram(600_000_000L, 3);
@@ -36,6 +40,7 @@
     }
 
     public void add(Series what, double amount, long now) {
+        ever.merge(what, amount, Double::sum);
         double[] row = series.get(what);
         if (now >= from && now - from < row.length * SECOND) {
             row[(int) ((now - from) / SECOND)] += amount;
@@ -52,6 +57,10 @@
         return series.get(s);
     }
 
+    public long ever(Series... all) {
+        return Math.round(Arrays.stream(all).mapToDouble(s -> ever.getOrDefault(s, 0.0)).sum());
+    }
+
     public double sum(Series s) {
         return Arrays.stream(series.get(s)).sum();
     }
--- a/lab/src/main/java/ambertrestle/lab/world/Model.java
+++ b/lab/src/main/java/ambertrestle/lab/world/Model.java
@@ -5,6 +5,7 @@
 import ambertrestle.lab.policy.Sight;
 import ambertrestle.lab.scenario.RelayFile;
 import ambertrestle.lab.scenario.Scenario;
+import ambertrestle.lab.scenario.Spread;
 import ambertrestle.relay.life.RunSheet;
 import ambertrestle.relay.memory.Effect;
 import ambertrestle.relay.memory.Event;
@@ -64,8 +65,7 @@
     public boolean run(IntPredicate second) {
         for (int i = 0; i < scenario.relays().count(); i++) {
             RelayNode relay = new RelayNode(this, i);
-            relay.start(roster.whole());
-            serves(relay);
+            relay.start(() -> serves(relay));
         }
         begin();
         int seconds = (int) ((scenario.end() + SECOND - 1) / SECOND);
@@ -99,7 +99,7 @@
     }
 
     Program program(RosterMessage known) {
-        return change.apply(new Reducer(sheet.values().withSeed(mix(++starts * 31 + chance.nextLong())), known, policy, now())::apply);
+        return change.apply(new Reducer(sheet.values().withSeed(Spread.mix(++starts * 31 + chance.nextLong())), known, policy, now())::apply);
     }
 
     long clientWay(int relay, long client) {
--- a/lab/src/main/java/ambertrestle/lab/world/RelayNode.java
+++ b/lab/src/main/java/ambertrestle/lab/world/RelayNode.java
@@ -1,6 +1,5 @@
 package ambertrestle.lab.world;
 
-import ambertrestle.decide.Listed;
 import ambertrestle.relay.memory.Effect;
 import ambertrestle.relay.memory.Event;
 import ambertrestle.relay.wire.Ask;
@@ -12,7 +11,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 
 /** One relay: the real reducer with its decisions, and what life and sockets do for it, in virtual time. */
 final class RelayNode extends RelayEnd {
@@ -31,10 +29,7 @@
     private long accepted;
     private final Map<Long, ClientEnd> clients = new LinkedHashMap<>();
     private final Map<Long, ModelBackLink> backs = new LinkedHashMap<>();
-    /** The roster as it last heard it, and when it heard of each that it drains or is gone. */
-    private final TreeMap<String, RosterMessage.Line> heard = new TreeMap<>();
-    private final TreeMap<String, Long> drainHeardAt = new TreeMap<>();
-    private long heardIndex;
+    private final HeardRoster roster = new HeardRoster();
     private long watch;
     private Watch watching;
 
@@ -49,45 +44,20 @@
 
     @Override
     protected void start(Runnable ready) {
-        start((RosterMessage) null);
-        ready.run();
-    }
-
-    /** Starts, or starts again, with the roster as it last had it. */
-    void start(RosterMessage known) {
         life++;
         up = true;
         stopping = false;
         accepted = 0;
-        take(known);
-        program = model.program(new RosterMessage(heardIndex, true, List.copyOf(heard.values())));
-        apply(new Event.Woke());
-    }
-
-    private void take(RosterMessage message) {
-        if (message == null) {
-            return;
-        }
-        if (message.whole()) {
-            heard.keySet().removeIf(n -> message.lines().stream().noneMatch(l -> l.name().equals(n)));
-        }
-        heardIndex = message.index();
-        for (RosterMessage.Line line : message.lines()) {
-            if (line.stage() == Listed.Stage.READY) {
-                drainHeardAt.remove(line.name());
-            } else {
-                drainHeardAt.putIfAbsent(line.name(), world.now());
-            }
-            if (line.stage() == Listed.Stage.GONE) {
-                heard.remove(line.name());
-            } else {
-                heard.put(line.name(), line);
-            }
+        if (roster.isEmpty()) {
+            roster.take(world.roster.whole(), world.now());
         }
+        program = model.program(roster.known());
+        apply(new Event.Woke());
+        ready.run();
     }
 
     long drainTold(String backend) {
-        return drainHeardAt.getOrDefault(backend, -1L);
+        return roster.drainTold(backend);
     }
 
     @Override
@@ -218,7 +188,7 @@
         @Override
         public void told(RosterMessage message) {
             later(() -> {
-                take(message);
+                roster.take(message, world.now());
                 tell(new Heard.Roster(message));
             });
         }
--- a/lab/src/main/java/ambertrestle/lab/world/World.java
+++ b/lab/src/main/java/ambertrestle/lab/world/World.java
@@ -5,6 +5,7 @@
 import ambertrestle.lab.scenario.Scenario.Kind;
 import ambertrestle.lab.scenario.Scenario.Trouble;
 import ambertrestle.lab.scenario.Scenario.Work;
+import ambertrestle.lab.scenario.Spread;
 import ambertrestle.lab.world.Meter.Series;
 import ambertrestle.relay.memory.Roster;
 import java.util.ArrayList;
@@ -46,6 +47,7 @@
     private double burst = 1;
     private double hot;
     private long ids;
+    private int waiting;
     private int badUnanswered;
     private int badSent;
 
@@ -103,6 +105,9 @@
     protected final void sample() {
         long at = clock.now() - 1;
         meter.add(Series.OPEN, backends.stream().mapToInt(BackendNode::open).sum(), at);
+        meter.add(Series.WAITING, waiting, at);
+        meter.add(Series.BUSIEST, 100 * backends.stream().filter(BackendNode::listens).mapToDouble(BackendNode::busy).max().orElse(0), at);
+        meter.add(Series.MEAN_BUSY, 100 * backends.stream().filter(BackendNode::listens).mapToDouble(BackendNode::busy).average().orElse(0), at);
         meter.add(Series.WORST_WAIT, backends.stream().mapToLong(BackendNode::waits).max().orElse(0) / 1e6, at);
         meter.add(Series.MEAN_WAIT, backends.stream().mapToLong(BackendNode::waits).average().orElse(0) / 1e6, at);
     }
@@ -132,7 +137,7 @@
         if (groupShares.length > 0) {
             int g = hot > 0 && chance.nextDouble() < hot ? 0 : Arrays.binarySearch(groupShares,
                     chance.nextDouble() * groupShares[groupShares.length - 1]);
-            group = mix(Math.min(groupShares.length - 1, g < 0 ? -g - 1 : g) + 1L) | 1;
+            group = Spread.mix(Math.min(groupShares.length - 1, g < 0 ? -g - 1 : g) + 1L) | 1;
         }
         new Visit(this, work, chance.nextLong() | 1, group, life).begin();
     }
@@ -141,24 +146,43 @@
         return -StrictMath.log(1 - chance.nextDouble());
     }
 
-    static long mix(long z) {
-        z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
-        z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
-        return z ^ (z >>> 31);
-    }
-
     long newId() {
-        return mix(++ids * 0x9e3779b97f4a7c15L);
+        return Spread.mix(++ids * 0x9e3779b97f4a7c15L);
     }
 
     RelayEnd front() {
         return front.isEmpty() ? null : front.get(chance.nextInt(front.size()));
     }
 
+    /** One more client waits for its answer, or one less. */
+    void waits(int more) {
+        waiting += more;
+    }
+
     void opened(ClientLink link) {
         opened.put(link.judged.id, link);
     }
 
+    /**
+     * Every connection that a client began, by how it was answered, and every one that was up, by how it ended. Counted twice,
+     * where it happened and by what each client holds now; the difference is what nobody can account for.
+     */
+    public final Map<String, Long> account() {
+        long waiting = opened.values().stream().filter(ClientLink::waits).count();
+        long open = opened.values().stream().filter(ClientLink::isUp).count();
+        Map<String, Long> account = new java.util.LinkedHashMap<>();
+        account.put("begun", (long) opened.size());
+        for (Series s : List.of(Series.UP, Series.BUSY, Series.ERR, Series.UNHEARD, Series.REFUSED, Series.DONE, Series.MOVED, Series.BROKEN)) {
+            account.put(s.says, meter.ever(s));
+        }
+        account.put("waiting at the end", waiting);
+        account.put("open at the end", open);
+        account.put("answers unaccounted for", opened.size() - waiting
+                - meter.ever(Series.UP, Series.BUSY, Series.ERR, Series.UNHEARD, Series.REFUSED));
+        account.put("ends unaccounted for", meter.ever(Series.UP) - open - meter.ever(Series.DONE, Series.MOVED, Series.BROKEN));
+        return account;
+    }
+
     /** Whose opening this is, also where its client has left meanwhile; null for one that no usual client sent. */
     ClientLink client(byte[] opening) {
         long id = 0;
@@ -197,7 +221,7 @@
 
     final long way(long one, long other) {
         Scenario.Network n = scenario.network();
-        return n.least() + Long.remainderUnsigned(mix(one * 0x9e3779b97f4a7c15L + other), n.most() - n.least() + 1);
+        return n.least() + Long.remainderUnsigned(Spread.mix(one * 0x9e3779b97f4a7c15L + other), n.most() - n.least() + 1);
     }
 
     /** How long a message takes one way. */
--- a/lab/src/test/java/ambertrestle/lab/ShippedTest.java
+++ b/lab/src/test/java/ambertrestle/lab/ShippedTest.java
@@ -28,8 +28,9 @@
                 world.run(second -> true);
                 double share = world.meter.sum(Series.BENEFIT) / world.meter.sum(Series.OFFERED);
                 String name = world.scenario.name();
-                if (!world.judge.kept() || share < LEAST.getOrDefault(name, 0.95) || world.badUnanswered() > 0) {
-                    faults.put(name, share + " " + world.judge.breaches() + " " + world.badUnanswered());
+                if (!world.judge.kept() || share < LEAST.getOrDefault(name, 0.95) || world.badUnanswered() > 0
+                        || world.account().get("answers unaccounted for") != 0 || world.account().get("ends unaccounted for") != 0) {
+                    faults.put(name, share + " " + world.judge.breaches() + " " + world.badUnanswered() + " " + world.account());
                 }
             } catch (Exception e) {
                 faults.put(file.toString(), e.toString());
--- a/lab/src/test/java/ambertrestle/lab/SocketsTest.java
+++ b/lab/src/test/java/ambertrestle/lab/SocketsTest.java
@@ -23,6 +23,7 @@
     }
 
     private static void rulesAreKept(SocketWorld world) {
+        assertThat(world.account()).containsEntry("answers unaccounted for", 0L).containsEntry("ends unaccounted for", 0L);
         for (Rule rule : new Rule[] {Rule.NOTHING_AFTER_IT, Rule.NO_EFFECT_TWICE, Rule.SHED_THAT_MAY_HAVE_RUN, Rule.DRAINS_KEPT,
             Rule.COLD_KEPT, Rule.STRAYS_KEPT_OUT}) {
             assertThat(world.judge.counts().get(rule)).as(rule.says + " " + world.judge.breaches()).isZero();
