Do not blame a relay for what its dying process's port still took in

Change: what ends on a relay that was killed owes nobody an answer; the account of a run on sockets is taken before its relays are ended.

--- a/lab/src/main/java/ambertrestle/lab/standin/RelayProcess.java
+++ b/lab/src/main/java/ambertrestle/lab/standin/RelayProcess.java
@@ -152,7 +152,8 @@
                 if (clients.remove(client) == null) {
                     return;
                 }
-                if (life != mine) {
+                // Danger: for some milliseconds after SIGKILL the dying process's port still takes connections, and then resets them.
+                if (life != mine || !up) {
                     client.relayDied();
                 } else {
                     client.ended(reset[0]);
--- a/lab/src/main/java/ambertrestle/lab/standin/SocketWorld.java
+++ b/lab/src/main/java/ambertrestle/lab/standin/SocketWorld.java
@@ -43,6 +43,7 @@
     private final Map<String, BackendSockets> sockets = new HashMap<>();
     private final CompletableFuture<Boolean> over = new CompletableFuture<>();
     private final List<String> ended = new ArrayList<>();
+    private Map<String, Long> account = Map.of();
     private long mostResident;
 
     private SocketWorld(Scenario scenario, long seed, Path jar, Path dir, Vertx vertx, Context loop, RealClock clock) {
@@ -133,6 +134,7 @@
             mostResident = Math.max(mostResident, relays.stream().mapToLong(RelayProcess::residentKilobytes).max().orElse(0));
             boolean on = second.test(n);
             if (!on || n * SECOND >= scenario.end()) {
+                account = super.account();
                 over.complete(on);
             } else {
                 tick(n + 1, second);
@@ -140,6 +142,12 @@
         });
     }
 
+    /** As it stood at the end of the run, before its relays were ended. */
+    @Override
+    public Map<String, Long> account() {
+        return account;
+    }
+
     @Override
     protected void joined(BackendNode b) {
         open(b);
--- a/lab/src/main/java/ambertrestle/lab/world/World.java
+++ b/lab/src/main/java/ambertrestle/lab/world/World.java
@@ -167,7 +167,7 @@
      * Every connection that a client began, by how it was answered, and every one that was up, by how it ended. Counted twice,
      * where it happened and by what each client holds now; the difference is what nobody can account for.
      */
-    public final Map<String, Long> account() {
+    public Map<String, Long> account() {
         long waiting = opened.values().stream().filter(ClientLink::waits).count();
         long open = opened.values().stream().filter(ClientLink::isUp).count();
         Map<String, Long> account = new java.util.LinkedHashMap<>();
