Write a run's reports in one place, for run and demo alike

Need: the demo wrote summary.json and report.html by its own copy of the lines that run has. Change: Lab.report is the one place.

--- a/lab/src/main/java/ambertrestle/lab/Lab.java
+++ b/lab/src/main/java/ambertrestle/lab/Lab.java
@@ -230,10 +230,7 @@
         private Path write(Scenario scenario, List<Result> results) throws IOException {
             System.err.print("\r");
             Path dir = out();
-            Files.createDirectories(dir);
-            JsonObject summary = Summary.of(scenario.name(), mode.name().toLowerCase(Locale.ROOT), results).put("says", scenario.says());
-            Files.writeString(dir.resolve("summary.json"), summary.encodePrettily() + "\n");
-            Files.writeString(dir.resolve("report.html"), Page.of(summary, results));
+            report(dir, scenario, mode, results);
             return dir;
         }
     }
@@ -280,6 +277,14 @@
         }
     }
 
+    /** The one place where a run's reports are written. */
+    private static void report(Path dir, Scenario scenario, Mode mode, List<Result> results) throws IOException {
+        Files.createDirectories(dir);
+        JsonObject summary = Summary.of(scenario.name(), mode.name().toLowerCase(Locale.ROOT), results).put("says", scenario.says());
+        Files.writeString(dir.resolve("summary.json"), summary.encodePrettily() + "\n");
+        Files.writeString(dir.resolve("report.html"), Page.of(summary, results));
+    }
+
     /** The daemon's jar as the build leaves it beside this one. */
     private static Path besideThis() {
         try {
@@ -329,9 +334,7 @@
                 return true;
             });
             Result r = Result.of("module", 1, whole, world.meter, world.judge, world.happened(), world.account(), 0, 0).withCosts(world.costs(), world.starved());
-            JsonObject summary = Summary.of(scenario.name(), "sockets", List.of(r)).put("says", scenario.says());
-            Files.writeString(out.resolve("summary.json"), summary.encodePrettily() + "\n");
-            Files.writeString(out.resolve("report.html"), Page.of(summary, List.of(r)));
+            report(out, scenario, Mode.SOCKETS, List.of(r));
             to.printf("connections, warm-up included: %s%n", world.account());
             to.printf(Locale.ROOT, "share of the benefit offered: %.3f; rules %s%s%n%s%nreport: %s%n", r.share(), r.rulesKept() ? "kept" : "BROKEN",
                     r.starved() ? " (this machine gave too little CPU: no result)" : "", String.join(System.lineSeparator(), world.costs()),
