Keep what a relay learned and the last roster beyond its process

A restarted relay began from nothing: it learned again, at the clients' expense, which backends take associations and answer none, and with the roster service away it had no list at all.

The module gives what changed since it was last asked, as plain values and in parts (at most 4,096 a turn of the loop), and takes them back weighed by age (recover.Aging, pure). relay.durable keeps them: versioned CBOR under a CRC32C, a new file synced, renamed, the folder synced, two generations. A list that was not heard lately counts all its backends as cold until the roster service is heard; backends of it that are gone use up no association's dispatches. Switched on by [durable] in the operator file; `state show` and `state verify` read a file. Off, nothing of it is loaded and every decision is as before.

--- a/core/src/main/java/ambertrestle/decide/Association.java
+++ b/core/src/main/java/ambertrestle/decide/Association.java
@@ -30,6 +30,8 @@
     public boolean moved;
     /** The time it was given while set-ups are paced; 0 while none. */
     public long slot;
+    /** Dispatches that met a backend which an old list still named; they count against no limit. */
+    public int excused;
     /** How often it was told to wait. */
     public int waits;
     /** Which part of its group it belongs to. */
--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -38,13 +38,6 @@
     /** Evidence about a backend halves in this time. */
     private static final long HALF_LIFE = 4 * SECOND;
 
-    /** Where a key's established connections are: the server recorded last, and those open now. */
-    private static final class Entry {
-        Backend backend;
-        final ArrayList<Association> open = new ArrayList<>(2);
-        long endedAt;
-    }
-
     private final SplittableRandom chance;
     private final HashMap<Long, Backend> backends = new HashMap<>();
     /** Listed ready or draining, by id: the members of the Maglev table. */
@@ -76,7 +69,7 @@
     /** Connections that lived to their end here, decaying: what warm backends surely carry. */
     private double ended;
     private long endedAt;
-    private final long bornAt;
+    private long bornAt;
     private double setUp;
     /** The time between two set-ups while set-ups fail all over, and the next that is free. */
     private long pace, nextSlot;
@@ -87,6 +80,10 @@
     /** Backends told to be late, and those with fresh evidence; looked through instead of all. */
     private final LinkedHashSet<Backend> lates = new LinkedHashSet<>();
     private final LinkedHashSet<Backend> tried = new LinkedHashSet<>();
+    /** What changed since it was last asked what to keep. */
+    private final Ledger ledger = new Ledger();
+    /** When it began with a list so old that any backend may have started since; 0 once one is heard. */
+    private long unseenAt;
     /** Over half of the backends tried lately fail set-ups: what they share is to blame. */
     private boolean jammed;
 
@@ -132,7 +129,7 @@
             return Answer.NOTHING;
         }
         // Danger: what can never be sent again would sit out its time; it is given up at once.
-        if (now >= a.cutOff || a.dispatches >= mostDispatches || !repeatable(a, null, now)) {
+        if (now >= a.cutOff || a.dispatches - a.excused >= mostDispatches || !repeatable(a, null, now)) {
             return giveUp(a);
         }
         if (pace > 0 && now < nextSlot && a.slot == 0 && !a.midFlow) {
@@ -159,6 +156,9 @@
         a.fate[dispatch] = outcome.neverRan ? Fate.NEVER_RAN : Fate.MAY_HAVE_RUN;
         unhold(a, b, now);
         judge(b, outcome, a.established, now);
+        ledger.changed(b);
+        // Danger: an old list names backends that are gone; finding that out must not use up all dispatches.
+        a.excused += unseenAt > 0 && outcome == Outcome.NOT_CONNECTED ? 1 : 0;
         // Danger: where all set-ups turn slow, a short time-out sends each of them several times over.
         setUp = outcome == Outcome.TIMED_OUT ? Math.max(setUp, (now - a.sentAt[dispatch]) / 2.0) : setUp;
         if (finished || a.closed) {
@@ -178,7 +178,8 @@
             due.rosterCall = Chores.RosterCall.WATCH;
         }
         if (now >= purgeAt) {
-            tracking.values().removeIf(e -> e.open.isEmpty() && now - e.endedAt >= ENTRY_AGE);
+            tracking.values().removeIf(
+                    e -> e.open.isEmpty() && now - e.endedAt >= ENTRY_AGE && ledger.gone(e));
             purgeAt = now + ENTRY_AGE / 4;
         }
         due.wakeAt = Math.min(purgeAt, watchAt);
@@ -192,6 +193,7 @@
     public void roster(List<Listed> lines, boolean whole, boolean cached, long now) {
         watchFailures = 0;
         mark++;
+        unseenAt = cached ? unseenAt : 0;
         boolean changed = false;
         for (Listed line : lines) {
             Backend b = backends.computeIfAbsent(line.backend(), Backend::new);
@@ -231,6 +233,52 @@
         hold(a, b);
     }
 
+    /** What it would keep beyond this process: at most so many values, those changed since last asked. */
+    @Override
+    public Kept changes(int most, long now) {
+        Kept.Whole whole = new Kept.Whole(ageEnded(now), Math.min(now - bornAt, 10 * SECOND), setUp, usual,
+                notes, pace);
+        return ledger.take(most, made(), whole, backends.values(), tracking.values());
+    }
+
+    /** What an earlier process kept, weighed by its age; `unseen`: ages in the list mean nothing. */
+    @Override
+    public void remember(Kept kept, boolean unseen, long now) {
+        ended = kept.whole().ended();
+        endedAt = now;
+        bornAt = Math.min(bornAt, now - kept.whole().lived());
+        setUp = kept.whole().setUp();
+        usual = kept.whole().usual();
+        notes = kept.whole().notes();
+        pace = Math.min(kept.whole().pace(), relays * SECOND / 8);
+        nextSlot = pace > 0 ? now + chance.nextLong(pace) : 0;
+        for (Kept.Judged j : kept.backends()) {
+            Backend b = backends.get(j.backend());
+            if (b != null && b.remember(j)) {
+                lates.add(b);
+                tried.add(b);
+            }
+        }
+        jammed = jammed(now);
+        for (Kept.Pin p : kept.pins()) {
+            Backend b = backends.get(p.backend());
+            // Danger: a pin to what is no longer listed would be followed the moment that id is listed again.
+            boolean listed = b != null && b.stage != Stage.GONE;
+            if (listed && kept.table() == made() && tracking.size() < MOST_ENTRIES) {
+                Entry entry = tracking.computeIfAbsent(p.key(), Entry::new);
+                entry.backend = b;
+                entry.endedAt = p.endedAt();
+            }
+        }
+        unseenAt = unseen ? now : 0;
+        coldUntil = unseen ? Math.max(coldUntil, now + coldFor + coldFor / 64) : coldUntil;
+        sum(now);
+    }
+
+    private long made() {
+        return Backend.mix(TABLE * 2 + (weighted ? 1 : 0));
+    }
+
     @Override
     public void established(Association a, int dispatch, long took, long now) {
         if (dispatch >= a.dispatches || a.established) {
@@ -238,6 +286,7 @@
         }
         Backend b = backends.get(a.sentTo[dispatch]).age(now, HALF_LIFE);
         b.good++;
+        ledger.changed(b);
         tried.add(b);
         jammed = jammed && jammed(now);
         pace = pace < relays * 12 * MS ? 0 : pace / 2;
@@ -281,6 +330,7 @@
         }
         b.delay = delay * 3 > shortestGoal ? delay : 0;
         b.delayAt = now;
+        ledger.changed(b);
         if (rising && delay > shortestGoal) {
             // Danger: a hung backend keeps its connections; with more piled up than anyone waits, all leave.
             boolean hangs = delay > (unseen ? SECOND : patience);
@@ -469,8 +519,14 @@
 
     /** What a fresh backend counts for, by its age. */
     private double warmth(Backend b, long now) {
-        return b.startedAt == 0 || now - b.startedAt >= coldFor ? 1
-                : coldFrom + (1 - coldFrom) * Math.max(0, now - b.startedAt) / coldFor;
+        long start = startOf(b);
+        return start == 0 || now - start >= coldFor ? 1
+                : coldFrom + (1 - coldFrom) * Math.max(0, now - start) / coldFor;
+    }
+
+    /** Danger: relays that begin with old lists would flood what may have just started: it is cold. */
+    private long startOf(Backend b) {
+        return Math.max(b.startedAt, unseenAt);
     }
 
     /** Draws whether a doubtful backend gets work. */
@@ -544,9 +600,10 @@
         // Rule 4: no cold backend pushed over.
         if (warmth(b, now) < 1) {
             double rate = coldRate(b, now);
-            if (b.allowanceAt < b.startedAt) {
-                b.allowance = 0;
-                b.allowanceAt = Math.max(b.startedAt, now - fallFor);
+            if (b.allowanceAt < startOf(b)) {
+                // Danger: relays that begin at one moment would all send the first at one moment too.
+                b.allowance = unseenAt > 0 ? chance.nextDouble() : 0;
+                b.allowanceAt = Math.max(startOf(b), now - fallFor);
             }
             b.allowance = Math.min(Math.max(1, rate * fallFor),
                     b.allowance + rate * (now - b.allowanceAt));
@@ -563,7 +620,11 @@
         double span = Math.min(now - bornAt, 10 * SECOND) + SECOND;
         // Where few are late, a warm backend could do some times what it is seen to do.
         int room = !tellsDelay || lates.size() * 8 > members.length ? 1 : 4;
-        return fallMultiple * warmth(b, now) * room * ended / span * b.weight / Math.max(weights, 1e-9);
+        // Danger: with all of them counted as cold, parts of the cold weights would cancel what cold means.
+        double rate = fallMultiple * warmth(b, now) * room * ended / span * b.weight
+                / Math.max(unseenAt > 0 ? sizes : weights, 1e-9);
+        // Danger: a relay that learned nothing must not sit idle; any backend sets up one connection a fall.
+        return unseenAt > 0 ? Math.max(rate, fallMultiple / relays / fallFor) : rate;
     }
 
     private double ageEnded(long now) {
@@ -584,7 +645,8 @@
     /** Leaves room for a further dispatch before the goal time. */
     private long timeOut(Association a, long now) {
         long usual = Math.max(useCases[a.useCase].goal() / 2, (long) (4 * setUp));
-        return a.dispatches >= mostDispatches || pace > 0 ? a.cutOff - now : Math.min(a.cutOff - now, usual);
+        boolean last = a.dispatches - a.excused >= mostDispatches || pace > 0;
+        return last ? a.cutOff - now : Math.min(a.cutOff - now, usual);
     }
 
     private Answer waitOrGiveUp(Association a, long now) {
@@ -615,12 +677,15 @@
         occupied += b.open.size() == 1 ? 1 : 0;
         tally(b, 0, a.load);
         if (a.key() != 0) {
-            Entry entry = tracking.computeIfAbsent(a.key(), k -> new Entry());
+            Entry entry = tracking.computeIfAbsent(a.key(), Entry::new);
             pairs += entry.open.size();
             entry.open.add(a);
-            (a.part <= 0 ? entry : tracking.computeIfAbsent(a.pin(), k -> new Entry())).backend = b;
+            Entry pin = a.part <= 0 ? entry : tracking.computeIfAbsent(a.pin(), Entry::new);
+            pin.backend = b;
+            ledger.changed(entry);
+            ledger.changed(pin);
             if (tracking.size() > MOST_ENTRIES) {
-                tracking.remove(tracking.keySet().iterator().next());
+                ledger.gone(tracking.remove(tracking.keySet().iterator().next()));
             }
         }
     }
@@ -639,6 +704,7 @@
         if (entry != null && entry.open.remove(a)) {
             pairs -= entry.open.size();
             entry.endedAt = now;
+            ledger.changed(entry);
         }
     }
 
@@ -647,6 +713,7 @@
         boolean changed = b.weight != weight || (b.stage == Stage.GONE) != (line.stage() == Stage.GONE);
         if (line.stage() != Stage.READY && (b.stage == Stage.READY || b.heardAt == 0)) {
             b.heardAt = now;
+            ledger.changed(b);
         }
         if (line.stage() == Stage.READY && line.startedAt() != b.startedAt) {
             b.good = 0;
--- a/core/src/main/java/ambertrestle/decide/Decisions.java
+++ b/core/src/main/java/ambertrestle/decide/Decisions.java
@@ -37,4 +37,12 @@
     void delayNote(long backend, long delay, long now);
 
     void clientLeft(Association a, long now);
+
+    /** What it would keep beyond its process: at most so many values that changed since it was last asked. Others keep nothing. */
+    default Kept changes(int most, long now) {
+        return Kept.NOTHING;
+    }
+
+    /** What an earlier process kept, weighed by its age, after the list; `unseen`: any backend of the list may be cold. */
+    default void remember(Kept kept, boolean unseen, long now) { }
 }
--- a/relay/src/main/java/ambertrestle/Main.java
+++ b/relay/src/main/java/ambertrestle/Main.java
@@ -11,7 +11,7 @@
     public static void main(String[] args) {
         // Danger: a relay restarts with part of a core while clients wait; it does not pay for reading options it has not.
         if (args.length == 1 && args[0].equals("serve")) {
-            Serve.run(System.getenv(), Log.Form.TEXT);
+            Serve.run(System.getenv(), Log.Form.TEXT, null);
         } else if (args.length == 1 && args[0].equals("simhost")) {
             int code = Cli.simulate();
             if (code != 0) {
--- a/relay/src/main/java/ambertrestle/cli/Cli.java
+++ b/relay/src/main/java/ambertrestle/cli/Cli.java
@@ -36,7 +36,7 @@
 /** The command line. Exit codes: 0 fine, 1 faulty input or a start that failed, 2 wrong usage, 143 told to stop by SIGTERM. */
 @Command(name = "ambertrestle", mixinStandardHelpOptions = true, version = "ambertrestle 0.2.0",
         description = "A balancer for long-lived connections.",
-        subcommands = {Cli.ServeIt.class, Cli.Simulate.class, Cli.Check.class, Cli.Place.class},
+        subcommands = {Cli.ServeIt.class, Cli.Simulate.class, Cli.Check.class, Cli.Place.class, StateCommand.class},
         footer = {"", "Exit codes: 0 fine; 1 faulty input, or a start that failed; 2 wrong usage; 143 ended by SIGTERM."})
 public final class Cli implements Callable<Integer> {
     @Spec
@@ -79,7 +79,7 @@
             if (config != null) {
                 environment.put("BALANCER_CONFIG", config);
             }
-            Serve.run(environment, form != null ? form : file.logForm());
+            Serve.run(environment, form != null ? form : file.logForm(), file.durable());
             // The JVM ends by signal, or by a start that failed; this thread has nothing more to do.
             Thread.currentThread().join();
             return 0;
--- /dev/null
+++ b/relay/src/main/java/ambertrestle/relay/durable/Disk.java
@@ -0,0 +1,24 @@
+package ambertrestle.relay.durable;
+
+import java.io.IOException;
+import java.util.List;
+
+/** One folder's files, and each step of keeping one that can fail by itself; tests put failures in its place. */
+interface Disk {
+    List<String> names() throws IOException;
+
+    long size(String name) throws IOException;
+
+    byte[] read(String name) throws IOException;
+
+    /** Makes a new file of it, and returns once the device has it. */
+    void write(String name, byte[] bytes) throws IOException;
+
+    /** At once or not at all. */
+    void rename(String from, String to) throws IOException;
+
+    /** Returns once the device has the folder's names. */
+    void syncNames() throws IOException;
+
+    void delete(String name) throws IOException;
+}
--- /dev/null
+++ b/relay/src/main/java/ambertrestle/relay/durable/RealDisk.java
@@ -0,0 +1,105 @@
+package ambertrestle.relay.durable;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** The folder itself. Owns the lock on it, which the system takes back when the process ends, however it ends. */
+public final class RealDisk implements Disk, AutoCloseable {
+    private static final String LOCK = "lock";
+
+    private final Path folder;
+    private FileChannel channel;
+
+    /** Another process, or another relay of this one, holds the folder. */
+    public static final class InUse extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        InUse() {
+            super("is in use by another relay");
+        }
+    }
+
+    public RealDisk(Path folder) {
+        this.folder = folder;
+    }
+
+    /** Danger: two relays that write into one folder would each delete what the other has just kept. */
+    public void lock() throws IOException {
+        channel = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        FileLock lock;
+        try {
+            lock = channel.tryLock();
+        } catch (OverlappingFileLockException e) {
+            lock = null;
+        }
+        if (lock == null) {
+            close();
+            throw new InUse();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        if (channel != null) {
+            channel.close();
+            channel = null;
+        }
+    }
+
+    @Override
+    public List<String> names() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.map(f -> f.getFileName().toString()).sorted().toList();
+        } catch (java.io.UncheckedIOException e) {
+            throw e.getCause();
+        }
+    }
+
+    @Override
+    public long size(String name) throws IOException {
+        return Files.size(folder.resolve(name));
+    }
+
+    @Override
+    public byte[] read(String name) throws IOException {
+        return Files.readAllBytes(folder.resolve(name));
+    }
+
+    @Override
+    public void write(String name, byte[] bytes) throws IOException {
+        try (FileChannel file = FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+                StandardOpenOption.TRUNCATE_EXISTING)) {
+            ByteBuffer left = ByteBuffer.wrap(bytes);
+            while (left.hasRemaining()) {
+                file.write(left);
+            }
+            file.force(true);
+        }
+    }
+
+    @Override
+    public void rename(String from, String to) throws IOException {
+        Files.move(folder.resolve(from), folder.resolve(to), StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    @Override
+    public void syncNames() throws IOException {
+        try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
+            names.force(true);
+        }
+    }
+
+    @Override
+    public void delete(String name) throws IOException {
+        Files.deleteIfExists(folder.resolve(name));
+    }
+}
--- a/relay/src/main/java/ambertrestle/relay/life/Serve.java
+++ b/relay/src/main/java/ambertrestle/relay/life/Serve.java
@@ -1,5 +1,12 @@
 package ambertrestle.relay.life;
 
+import ambertrestle.decide.Balancer;
+import ambertrestle.relay.durable.DurableSheet;
+import ambertrestle.relay.durable.Keeper;
+import ambertrestle.relay.durable.Keeper.Said;
+import ambertrestle.relay.durable.Picture;
+import ambertrestle.relay.durable.RealDisk;
+import ambertrestle.relay.durable.Recovery;
 import ambertrestle.relay.life.RunSheet.BadSheet;
 import ambertrestle.relay.memory.Effect;
 import ambertrestle.relay.memory.Event;
@@ -15,6 +22,7 @@
 import io.vertx.core.file.FileSystemOptions;
 import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -38,16 +46,29 @@
     /** Unix time at the start less the monotonic clock's: the one place where the two are tied. */
     private final long wallLess = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
 
-    private Serve(Vertx vertx, RunSheet sheet) {
+    /** Keeps what is learned beyond this process; null where nothing is kept. */
+    private final Safe safe;
+
+    private Serve(Vertx vertx, RunSheet sheet, DurableSheet durable, Keeper keeper, List<Said> said) {
         this.vertx = vertx;
         loop = vertx.getOrCreateContext();
         sockets = new Sockets(vertx, sheet.connectMillis(), sheet.names(), this::heard);
         watch = new RosterWatch(vertx, this::heard);
-        reducer = new Reducer(sheet.values(), sheet.known(), now());
+        if (keeper == null) {
+            safe = null;
+            reducer = new Reducer(sheet.values(), sheet.known(), now());
+        } else {
+            String rosterAt = sheet.values().rosterAt().toString();
+            Picture kept = keeper.read(now(), said);
+            Recovery.Beginning beginning = Recovery.begin(sheet.known(), kept, rosterAt, durable.sure(), now()).saying(said);
+            keeper.begin(rosterAt, beginning.heardAt(), beginning.list());
+            safe = new Safe(vertx, keeper, durable.interval(), () -> happened(new Event.Keep()), watch, wallLess);
+            reducer = new Reducer(sheet.values(), beginning, true, Balancer::new, now());
+        }
     }
 
     /** Runs until the process is told to stop; on a bad sheet or a listen address in use, exit code 1. */
-    public static void run(Map<String, String> environment, Log.Form form) {
+    public static void run(Map<String, String> environment, Log.Form form, DurableSheet durable) {
         RunSheet sheet;
         try {
             sheet = RunSheet.read(environment);
@@ -56,12 +77,22 @@
             return;
         }
         Log.begin(form, sheet.name());
+        List<Said> said = new ArrayList<>();
+        Keeper keeper = null;
+        if (durable != null) {
+            try {
+                keeper = Keeper.open(durable, sheet.name(), said);
+            } catch (RealDisk.InUse e) {
+                fail("durable.folder " + durable.folder() + " " + e.getMessage());
+                return;
+            }
+        }
         Vertx vertx = Vertx.builder().withTransport(new OneLoop()).with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
                         .setFileCachingEnabled(false).setClassPathResolvingEnabled(false))).build();
         Serve serve;
         try {
-            serve = new Serve(vertx, sheet);
+            serve = new Serve(vertx, sheet, durable, keeper, said);
         } catch (IllegalArgumentException e) {
             fail("settings: " + e.getMessage());
             return;
@@ -84,6 +115,9 @@
                 .onSuccess(v -> {
                     Log.tell(Level.INFO, "serves", sheet.name() + " serves");
                     happened(new Event.Woke());
+                    if (safe != null) {
+                        safe.begin();
+                    }
                 });
     }
 
@@ -131,6 +165,10 @@
         busy = false;
     }
 
+    static void tell(Said said) {
+        Log.tell(said.bad() ? Level.WARNING : Level.INFO, said.event(), said.line(), said.fields());
+    }
+
     private void carryOut(Effect effect) {
         if (effect instanceof Effect.OnWire wire) {
             if (wire.ask() instanceof Ask.Watch from) {
@@ -144,6 +182,12 @@
                     t -> happened(new Event.Woke()));
         } else if (effect instanceof Effect.Note note) {
             Log.tell(Level.INFO, note.event(), note.line(), note.fields());
+        } else if (effect instanceof Effect.Keep keep) {
+            safe.take(keep.part());
+        } else if (effect instanceof Effect.KeepRoster keep) {
+            safe.take(keep.message());
+        } else if (effect instanceof Effect.Stop && safe != null) {
+            safe.end(() -> vertx.setTimer(200, t -> done.countDown()));
         } else if (effect instanceof Effect.Stop) {
             vertx.setTimer(200, t -> done.countDown());
         }
--- a/relay/src/main/java/ambertrestle/relay/memory/Effect.java
+++ b/relay/src/main/java/ambertrestle/relay/memory/Effect.java
@@ -1,6 +1,8 @@
 package ambertrestle.relay.memory;
 
+import ambertrestle.decide.Kept;
 import ambertrestle.relay.wire.Ask;
+import ambertrestle.relay.wire.RosterMessage;
 import java.util.Map;
 
 /** All that the reducer can ask for. */
@@ -13,6 +15,12 @@
     /** A line of the log: what happened, in words, and to whom by name. */
     record Note(String event, String line, Map<String, String> fields) implements Effect { }
 
+    /** A part of what the module would keep beyond this process. */
+    record Keep(Kept part) implements Effect { }
+
+    /** The roster service said this, and it was taken. */
+    record KeepRoster(RosterMessage message) implements Effect { }
+
     /** All is settled; the program may end. */
     record Stop() implements Effect { }
 }
--- a/relay/src/main/java/ambertrestle/relay/memory/Event.java
+++ b/relay/src/main/java/ambertrestle/relay/memory/Event.java
@@ -13,6 +13,9 @@
     /** The configuration was read anew, and is sound: what of it may change while the relay runs. */
     record Reread(Address rosterAt, int mostSockets) implements Event { }
 
+    /** Give a part of what is to be kept beyond this process. */
+    record Keep() implements Event { }
+
     /** This relay shall stop. */
     record ToldToStop() implements Event { }
 }
--- a/relay/src/main/java/ambertrestle/relay/memory/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/memory/Reducer.java
@@ -7,6 +7,10 @@
 import ambertrestle.decide.Decisions;
 import ambertrestle.decide.Outcome;
 import ambertrestle.relay.memory.Connection.Stage;
+import ambertrestle.relay.durable.Keeper.Said;
+import ambertrestle.relay.durable.Recovery;
+import ambertrestle.relay.durable.Recovery.Beginning;
+import ambertrestle.relay.durable.Start;
 import ambertrestle.relay.wire.Address;
 import ambertrestle.relay.wire.Ask;
 import ambertrestle.relay.wire.FromBackend;
@@ -45,6 +49,8 @@
     private static final long SILENT_LINE = 5 * SECOND;
     /** The part of the sockets that those may hold who have opened nothing yet. */
     private static final int SILENT_PART = 6;
+    /** Danger: taking all that is learned at once would hold up the loop; so much takes well under a millisecond. */
+    private static final int PART_KEPT = 4096;
     private static final byte[] PONG = line("PONG"), ERR = line("ERR"), BUSY = line("BUSY"), MOVE = line("MOVE");
 
     private final Decisions balancer;
@@ -70,6 +76,10 @@
     private boolean watched;
     private int mostSockets;
     private final Returns returns = new Returns();
+    /** How far its start has come; null where nothing is kept. */
+    private final Beginning beginning;
+    private final Start start;
+    private final List<Said> toSay = new ArrayList<>();
     private long toldToStopAt, stopAt = Long.MAX_VALUE;
     private boolean stopped;
 
@@ -79,14 +89,28 @@
 
     /** With others in the module's place, to compare it with them. */
     public Reducer(RunValues values, RosterMessage known, Decisions.Maker decisions, long now) {
+        this(values, Beginning.known(known), false, decisions, now);
+    }
+
+    /** `keeps`: what it learns is asked for by {@link Event.Keep}, and its start is told. */
+    public Reducer(RunValues values, Beginning beginning, boolean keeps, Decisions.Maker decisions, long now) {
         this.values = values;
+        this.beginning = beginning;
+        start = keeps ? new Start(beginning, now) : null;
         rosterAt = values.rosterAt();
         mostSockets = values.mostSockets();
         roster = new Roster(values.zones(), values.types());
         balancer = decisions.make(values.jobTicket(), values.seed(), now);
         delays = new Delays(values.messageGoal() / 3);
         tellAt = now + Delays.TOLD_EVERY;
-        balancer.roster(roster.take(known), true, true, now);
+        balancer.roster(roster.take(beginning.list()), true, true, now);
+        if (keeps) {
+            balancer.remember(beginning.kept(), beginning.unseen(), now);
+            // Danger: versions of another roster service mean nothing to this one; the whole list is asked for.
+            roster.index = beginning.comparable() ? roster.index : -1;
+            toSay.addAll(beginning.said());
+            toSay.add(start.begun());
+        }
     }
 
     /** The one way in. */
@@ -96,6 +120,8 @@
             heard(wire.heard(), now);
         } else if (event instanceof Event.Reread reread) {
             reread(reread, now);
+        } else if (event instanceof Event.Keep) {
+            effects.add(new Effect.Keep(balancer.changes(PART_KEPT, now)));
         } else if (event instanceof Event.ToldToStop) {
             note("told-to-stop", "told to stop: settling " + byAssociation.size() + " associations");
             toldToStopAt = stopAt == Long.MAX_VALUE ? now : toldToStopAt;
@@ -113,6 +139,9 @@
         } else if (heard instanceof Heard.RosterBroke e) {
             note("roster-watch-broke", "roster watch broke: " + e.why());
             watching = false;
+            if (start != null) {
+                start.broke();
+            }
             balancer.rosterFailed(now);
         } else if (heard instanceof Heard.ClientSaid e) {
             Connection c = bySocket.get(e.socket());
@@ -503,7 +532,14 @@
             watch();
             return;
         }
-        balancer.roster(roster.take(message), message.whole(), false, now);
+        RosterMessage list = message;
+        if (start != null) {
+            effects.add(new Effect.KeepRoster(message));
+            // Danger: changes leave out what did not change, whose age would count as unknown for good.
+            list = start.at() == Start.At.ON_OLD_LIST ? Recovery.merged(beginning.list(), message) : message;
+            toSay.add(start.heard(list, now));
+        }
+        balancer.roster(roster.take(list), list.whole(), false, now);
     }
 
     private void watch() {
@@ -530,6 +566,15 @@
         if (now >= tellAt) {
             tell(now);
         }
+        if (start != null) {
+            toSay.add(start.woke(now));
+        }
+        for (Said said : toSay) {
+            if (said != null) {
+                effects.add(new Effect.Note(said.event(), said.line(), said.fields()));
+            }
+        }
+        toSay.clear();
         Chores chores = balancer.howLong(now);
         // Danger: where the settings say that changes come by themselves, the module never asks; on sockets none come.
         // Danger: a watch moved meanwhile must not be torn down by the retry that the one before had coming.
@@ -543,7 +588,8 @@
         if (now >= stopAt && !stopped) {
             stop(now);
         }
-        long next = Math.min(Math.min(chores.wakeAt, dues.earliest()), Math.min(tellAt, stopped ? tellAt : stopAt));
+        long converges = start == null ? Long.MAX_VALUE : start.wakeAt();
+        long next = Math.min(converges, Math.min(Math.min(chores.wakeAt, dues.earliest()), Math.min(tellAt, stopped ? tellAt : stopAt)));
         if (next != armed) {
             armed = next;
             effects.add(new Effect.WakeAt(next));
--- a/relay/src/main/java/ambertrestle/relay/memory/Roster.java
+++ b/relay/src/main/java/ambertrestle/relay/memory/Roster.java
@@ -3,7 +3,6 @@
 import ambertrestle.decide.Listed;
 import ambertrestle.decide.Listed.Stage;
 import ambertrestle.relay.wire.RosterMessage;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -21,13 +20,9 @@
         this.types = types;
     }
 
-    /** Any name is an id: FNV-1a over its bytes, 64 bits, so that relays agree without talking. */
+    /** The module's id of a backend. */
     public static long id(String name) {
-        long hash = 0xcbf29ce484222325L;
-        for (byte b : name.getBytes(StandardCharsets.UTF_8)) {
-            hash = (hash ^ (b & 0xff)) * 0x100000001b3L;
-        }
-        return hash;
+        return RosterMessage.id(name);
     }
 
     List<Listed> take(RosterMessage message) {
--- a/relay/src/main/java/ambertrestle/relay/wire/RosterMessage.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/RosterMessage.java
@@ -3,6 +3,7 @@
 import ambertrestle.decide.Listed.Stage;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -11,6 +12,15 @@
     public record Line(String name, String address, Stage stage, String zone, String type, int cell, double weight,
             long sinceMillis) { }
 
+    /** Any name is an id: FNV-1a over its bytes, 64 bits, so that relays agree without talking. */
+    public static long id(String name) {
+        long hash = 0xcbf29ce484222325L;
+        for (byte b : name.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ (b & 0xff)) * 0x100000001b3L;
+        }
+        return hash;
+    }
+
     /** Throws IllegalArgumentException, naming the key, on what is no message. */
     public static RosterMessage decode(JsonObject json) {
         try {
--- a/relay/src/main/java/ambertrestle/relay/wire/RosterWatch.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/RosterWatch.java
@@ -25,6 +25,10 @@
     private long watch;
     private long guard = -1;
     private HttpClientRequest asked;
+    private Address askedAt;
+    /** Who said last that the list stands, and when by the monotonic clock; null while nobody did. */
+    private Address heardFrom;
+    private long heardAt;
 
     public RosterWatch(Vertx vertx, Consumer<Heard> tell) {
         this.vertx = vertx;
@@ -35,6 +39,7 @@
 
     public void ask(Address at, long index) {
         giveBack();
+        askedAt = at;
         long mine = watch;
         guard(mine, ANSWER_MILLIS, "no answer");
         String path = "/v1/endpoints?stream=1" + (index < 0 ? "" : "&index=" + index);
@@ -72,6 +77,7 @@
         }
         guard(mine, SILENT_MILLIS, "silent");
         if (line.toString().isBlank()) {
+            heardStanding();
             return;
         }
         RosterMessage message;
@@ -81,9 +87,23 @@
             broke(mine, "nonsense: " + e.getMessage());
             return;
         }
+        heardStanding();
         tell.accept(new Heard.Roster(message));
     }
 
+    private void heardStanding() {
+        heardFrom = askedAt;
+        heardAt = System.nanoTime();
+    }
+
+    public Address heardFrom() {
+        return heardFrom;
+    }
+
+    public long heardAt() {
+        return heardAt;
+    }
+
     /** Danger: a roster service that vanishes says nothing; silence must end the watch too. */
     private void guard(long mine, long millis, String why) {
         vertx.cancelTimer(guard);
