Let Unix time begin with the model's run; play kept state in the lab

In the model the roster told starts of backends in Unix time from 2023 while relays went by the run's own time, so every fresh backend seemed to start in a future that never came: it stayed cold and its budget never filled.

--- a/lab/src/main/java/ambertrestle/lab/Lab.java
+++ b/lab/src/main/java/ambertrestle/lab/Lab.java
@@ -90,6 +90,8 @@
         private int jobs;
         @Option(names = "--jar", description = "The daemon's jar, for sockets; default: the one built beside this.")
         private Path jar;
+        @Option(names = "--kept", arity = "1", paramLabel = "true|false", description = "Whether what a relay learned survives it; default: as the scenario says.")
+        private Boolean kept;
         @Option(names = "--out", description = "Where the reports go; default: lab-out/NAME.")
         private Path out;
         private final AtomicBoolean stop = new AtomicBoolean();
@@ -98,7 +100,7 @@
 
         @Override
         public Integer call() throws Exception {
-            Scenario scenario = Scenario.read(file);
+            Scenario scenario = kept == null ? Scenario.read(file) : Scenario.read(file).keeping(kept);
             for (String policy : policies) {
                 if (!Policies.NAMES.contains(policy)) {
                     throw new ParameterException(spec.commandLine(), "--policy " + policy + " is not known: expected one of "
--- a/lab/src/main/java/ambertrestle/lab/report/Page.java
+++ b/lab/src/main/java/ambertrestle/lab/report/Page.java
@@ -22,6 +22,7 @@
             new Plot("Benefit", "a second", List.of(Series.OFFERED, Series.BENEFIT)),
             new Plot("Answers by kind", "a second", List.of(Series.UP, Series.BUSY, Series.ERR, Series.UNHEARD, Series.REFUSED)),
             new Plot("Opens, reconnects and dispatches", "a second", List.of(Series.OPENS, Series.RETURNS, Series.DISPATCHES)),
+            new Plot("Dispatches to backends that are cold", "a second", List.of(Series.TO_FRESH)),
             new Plot("Ends of open connections", "a second", List.of(Series.DONE, Series.MOVED, Series.BROKEN)),
             new Plot("Open at backends, and in flight", "connections", List.of(Series.OPEN, Series.WAITING)),
             new Plot("Load at backends by what is open there", "% of speed", List.of(Series.BUSIEST, Series.MEAN_BUSY)),
--- a/lab/src/main/java/ambertrestle/lab/scenario/Scenario.java
+++ b/lab/src/main/java/ambertrestle/lab/scenario/Scenario.java
@@ -9,10 +9,23 @@
 import java.util.Set;
 
 /** What one run plays: plain values, read and checked here alone. Times in whole nanoseconds, from the run's start. */
-public record Scenario(String name, String says, long warmUp, long length, Relays relays, Network network, RosterService roster,
+public record Scenario(String name, String says, long warmUp, long length, long countFrom, Relays relays, Network network, RosterService roster,
         List<Fleet> fleets, List<Work> works, Groups groups, Clients clients, Rules rules, Store store, List<Trouble> troubles) {
-    /** `notice`: the front sends on to a relay that is gone for so long. */
-    public record Relays(int count, long notice, int sockets) { }
+    /**
+     * `notice`: the front sends on to a relay that is gone for so long. `kept`: what a relay learned survives it, no older than
+     * `interval`; `known`: the list that a relay is started again with.
+     */
+    public record Relays(int count, long notice, int sockets, boolean kept, long interval, Known known) {
+        public Relays keeping(boolean on) {
+            return new Relays(count, notice, sockets, on, interval, known);
+        }
+    }
+
+    /** As the relay last had it; as it was before the run; none. */
+    public enum Known { LAST, FIRST, NONE }
+
+    /** How a roster service that is down fails, on sockets: the model knows only the first two. */
+    public enum Down { REFUSES, HANGS, ANSWERS_503, HALF_A_LINE }
 
     public record Network(long least, long most) { }
 
@@ -45,7 +58,7 @@
     public record Store(long work, double speed) { }
 
     /** `backends` and `relays`: how many it strikes; `at` from the end of the warm-up on. */
-    public record Trouble(Kind kind, long at, long lasts, int backends, int relays, double factor, double rate) { }
+    public record Trouble(Kind kind, long at, long lasts, int backends, int relays, double factor, double rate, Down how) { }
 
     public enum Kind {
         KILL, HANG, SLOW, SILENT_ACCEPT, DRAIN, JOIN, ROSTER_LAG, ROSTER_DOWN, RELAY_KILL, RELAY_RESTART, PARTITION,
@@ -78,6 +91,12 @@
         }
     }
 
+    /** The same with what relays learn kept, or not. */
+    public Scenario keeping(boolean on) {
+        return new Scenario(name, says, warmUp, length, countFrom, relays.keeping(on), network, roster, fleets, works, groups, clients, rules, store,
+                troubles);
+    }
+
     public int backends() {
         return fleets.stream().mapToInt(Fleet::count).sum();
     }
@@ -96,9 +115,14 @@
         String says = top.text("says", "");
         long warmUp = top.time("warm-up", "10s");
         long length = top.time("length", "60s");
+        long countFrom = top.time("count-from", "0s");
+        if (countFrom >= length) {
+            top.fault("count-from", "is malformed: expected a time before the run's length");
+        }
         Sheet.Part r = top.part("relays");
         Relays relays = new Relays((int) r.whole("count", 2L, 1, 1000), r.time("notice", "1s"),
-                (int) r.whole("sockets", 65_536L, 128, 1 << 20));
+                (int) r.whole("sockets", 65_536L, 128, 1 << 20), r.flag("kept", false), r.time("interval", "2s"),
+                Known.valueOf(r.word("known", "last", words(Known.values())).toUpperCase(java.util.Locale.ROOT)));
         r.end();
         Sheet.Part n = top.part("network");
         Network network = new Network(n.time("least", "200us"), n.time("most", "800us"));
@@ -132,7 +156,7 @@
         if (!sheet.faults().isEmpty()) {
             throw new Faulty(sheet.faults());
         }
-        return new Scenario(name, says, warmUp, length, relays, network, roster, fleets, works, groups, clients, rules, store,
+        return new Scenario(name, says, warmUp, length, countFrom, relays, network, roster, fleets, works, groups, clients, rules, store,
                 troubles);
     }
 
@@ -185,6 +209,10 @@
         return works;
     }
 
+    private static List<String> words(Enum<?>[] values) {
+        return java.util.Arrays.stream(values).map(v -> v.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-')).toList();
+    }
+
     private static List<Trouble> troubles(Sheet.Part top, int backends, int relays, long length, Store store, Groups groups) {
         List<Trouble> troubles = new ArrayList<>();
         List<String> words = java.util.Arrays.stream(Kind.values()).map(Kind::word).toList();
@@ -199,6 +227,7 @@
             int struck = kind.strikesBackends() ? (int) t.whole("backends", 1L, 1, kind == Kind.JOIN ? 100_000 : backends) : 0;
             int away = kind.strikesRelays() ? (int) t.whole("relays", 1L, 1, relays) : 0;
             double factor = kind.hasFactor() ? t.number("factor", null, 0.001, 1e6) : 1;
+            String how = kind == Kind.ROSTER_DOWN ? t.word("how", "answers-503", words(Down.values())) : "answers-503";
             double rate = kind == Kind.BAD_CLIENTS ? t.number("rate", 50.0, 0.1, 1e5) : 0;
             if (at >= length) {
                 t.fault("at", "is malformed: expected a time before the run's length");
@@ -210,7 +239,8 @@
                 t.fault("factor", "is malformed: expected a share up to 1, and [groups] with a count");
             }
             t.end();
-            troubles.add(new Trouble(kind, at, lasts, struck, away, factor, rate));
+            troubles.add(new Trouble(kind, at, lasts, struck, away, factor, rate,
+                    Down.valueOf(how.toUpperCase(java.util.Locale.ROOT).replace('-', '_'))));
         }
         return troubles;
     }
--- a/lab/src/main/java/ambertrestle/lab/standin/Daemon.java
+++ b/lab/src/main/java/ambertrestle/lab/standin/Daemon.java
@@ -4,6 +4,8 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Starts the daemon as it is shipped, on loopback, with its configuration and nothing else of this process's environment. */
 final class Daemon {
@@ -12,8 +14,17 @@
     private Daemon() { }
 
     static Process start(Path jar, Path configuration, Path log) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx256m", "-Dvertx.disableDnsResolver=true", "-jar", jar.toString(), "serve");
+        return start(jar, configuration, null, log);
+    }
+
+    /** `operator`: its operator file, or null. */
+    static Process start(Path jar, Path configuration, Path operator, Path log) throws IOException {
+        List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx256m", "-Dvertx.disableDnsResolver=true", "-jar", jar.toString(), "serve"));
+        if (operator != null) {
+            words.addAll(List.of("--operator", operator.toString()));
+        }
+        ProcessBuilder builder = new ProcessBuilder(words);
         builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
         builder.environment().put("BALANCER_CONFIG", configuration.toString());
         return builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
--- a/lab/src/main/java/ambertrestle/lab/standin/RosterServer.java
+++ b/lab/src/main/java/ambertrestle/lab/standin/RosterServer.java
@@ -1,6 +1,7 @@
 package ambertrestle.lab.standin;
 
 import ambertrestle.decide.Listed.Stage;
+import ambertrestle.lab.scenario.Scenario.Down;
 import ambertrestle.lab.world.RosterNode;
 import ambertrestle.relay.wire.RosterMessage;
 import io.vertx.core.Future;
@@ -23,6 +24,7 @@
     /** When it is told what, for the judge of drains. */
     private final java.util.function.Consumer<RosterMessage> told;
     private int port;
+    private HttpServer server;
 
     RosterServer(Vertx vertx, RosterNode roster, UnaryOperator<String> address, java.util.function.Consumer<RosterMessage> told) {
         this.vertx = vertx;
@@ -32,7 +34,20 @@
     }
 
     Future<HttpServer> listen() {
-        return vertx.createHttpServer().requestHandler(this::asked).listen(0, Daemon.HOST).onSuccess(s -> port = s.actualPort());
+        return vertx.createHttpServer().requestHandler(this::asked).listen(port, Daemon.HOST).onSuccess(s -> {
+            port = s.actualPort();
+            server = s;
+        });
+    }
+
+    /** It fails from now on, in that way; null: it serves again. */
+    void down(Down how) {
+        if (how == Down.REFUSES) {
+            server.close();
+            server = null;
+        } else if (how == null && server == null) {
+            listen();
+        }
     }
 
     String address() {
@@ -50,7 +65,12 @@
     }
 
     private void asked(HttpServerRequest request) {
-        if (roster.isDown()) {
+        if (roster.down() == Down.HANGS) {
+            return;
+        } else if (roster.down() == Down.HALF_A_LINE) {
+            String line = encode(roster.whole()).encode();
+            request.response().setChunked(true).write(line.substring(0, line.length() / 2));
+        } else if (roster.down() != null) {
             request.response().setStatusCode(503).end();
         } else if (!request.path().equals("/v1/endpoints")) {
             request.response().setStatusCode(404).end();
--- a/lab/src/main/java/ambertrestle/lab/standin/SocketWorld.java
+++ b/lab/src/main/java/ambertrestle/lab/standin/SocketWorld.java
@@ -148,6 +148,11 @@
         return account;
     }
 
+    @Override
+    protected void rosterGoes(Scenario.Down how) {
+        relays.forEach(r -> r.roster.down(how));
+    }
+
     @Override
     protected void joined(BackendNode b) {
         open(b);
--- a/lab/src/main/java/ambertrestle/lab/world/BackendNode.java
+++ b/lab/src/main/java/ambertrestle/lab/world/BackendNode.java
@@ -145,6 +145,7 @@
                 () -> world.judge.twoOut(client.judged, before, run, world.now())));
         world.meter.add(Meter.Series.DISPATCHES, 1, world.now());
         if (world.now() - startedAt < world.scenario.rules().cold()) {
+            world.meter.add(Meter.Series.TO_FRESH, 1, world.now());
             world.judge.coldReached(cold, name, startedAt, fleet.speed() * SECOND / Math.max(1, world.meanSetUp()), world.now());
         }
         act(() -> admit(link));
--- a/lab/src/main/java/ambertrestle/lab/world/ClientLink.java
+++ b/lab/src/main/java/ambertrestle/lab/world/ClientLink.java
@@ -111,6 +111,7 @@
         if (first == 'U') {
             enter(Stage.UP);
             visit.cameUp();
+            relay.cameUp();
             nextLine(world.now() + visit.work.every());
         } else if (shed) {
             world.meter.add(Series.BUSY, 1, world.now());
--- a/lab/src/main/java/ambertrestle/lab/world/Meter.java
+++ b/lab/src/main/java/ambertrestle/lab/world/Meter.java
@@ -14,7 +14,7 @@
         ERR("forfeited"), UNHEARD("no answer"), REFUSED("not connected"), DONE("done"), BROKEN("broken"), MOVED("moved"),
         LINES("lines"), LATE_LINES("late lines"), DISPATCHES("dispatches"), OPEN("open connections"),
         WAITING("waiting for an answer"), BUSIEST("busiest backend, % of its speed"), MEAN_BUSY("mean of backends, %"),
-        WORST_WAIT("longest queue at a backend, ms"), MEAN_WAIT("mean queue at backends, ms");
+        TO_FRESH("dispatches to backends started within the cold time"), WORST_WAIT("longest queue at a backend, ms"), MEAN_WAIT("mean queue at backends, ms");
 
         public final String says;
 
@@ -25,6 +25,8 @@
 
     private static final long SECOND = 1_000_000_000L;
     private final long from;
+    /** Sums leave out the seconds before this one. */
+    private final int countFrom;
     private final Map<Series, double[]> series = new LinkedHashMap<>();
     /** All that was ever added, the warm-up's too: what the account of answers is made from. */
     private final EnumMap<Series, Double> ever = new EnumMap<>(Series.class);
@@ -32,8 +34,9 @@
     public final Histogram opening = new Histogram(600_000_000L, 3);
     public final Histogram line = new Histogram(600_000_000L, 3);
 
-    public Meter(long from, long to) {
+    public Meter(long from, long to, long countFrom) {
         this.from = from;
+        this.countFrom = (int) (countFrom / SECOND);
         for (Series s : Series.values()) {
             series.put(s, new double[(int) ((to - from + SECOND - 1) / SECOND)]);
         }
@@ -48,7 +51,7 @@
     }
 
     public void took(Histogram where, long nanos, long now) {
-        if (now >= from) {
+        if (now >= from + countFrom * SECOND) {
             where.recordValue(Math.min(599_000_000L, Math.max(0, nanos / 1000)));
         }
     }
@@ -62,6 +65,6 @@
     }
 
     public double sum(Series s) {
-        return Arrays.stream(series.get(s)).sum();
+        return Arrays.stream(series.get(s)).skip(countFrom).sum();
     }
 }
--- a/lab/src/main/java/ambertrestle/lab/world/Model.java
+++ b/lab/src/main/java/ambertrestle/lab/world/Model.java
@@ -6,12 +6,12 @@
 import ambertrestle.lab.scenario.RelayFile;
 import ambertrestle.lab.scenario.Scenario;
 import ambertrestle.lab.scenario.Spread;
+import ambertrestle.relay.durable.Recovery.Beginning;
 import ambertrestle.relay.life.RunSheet;
 import ambertrestle.relay.memory.Effect;
 import ambertrestle.relay.memory.Event;
 import ambertrestle.relay.memory.Reducer;
 import ambertrestle.relay.wire.FromClient;
-import ambertrestle.relay.wire.RosterMessage;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.List;
@@ -27,8 +27,11 @@
  */
 public final class Model extends World {
     private static final long MS = 1_000_000L, SECOND = 1_000 * MS;
-    /** Unix time at the start of every run. */
-    private static final long EPOCH = 1_700_000_000L * SECOND;
+    /**
+     * Danger: the roster tells starts in Unix time and relays go by the model's; two zeros would make every fresh backend start
+     * in a future that never comes. So Unix time begins with the run.
+     */
+    private static final long EPOCH = 0;
 
     /** What a relay is to the model: events and the time in, effects out. */
     public interface Program {
@@ -98,8 +101,9 @@
         return FromClient.decode(raw, sheet.names());
     }
 
-    Program program(RosterMessage known) {
-        return change.apply(new Reducer(sheet.values().withSeed(Spread.mix(++starts * 31 + chance.nextLong())), known, policy, now())::apply);
+    Program program(Beginning beginning) {
+        return change.apply(new Reducer(sheet.values().withSeed(Spread.mix(++starts * 31 + chance.nextLong())), beginning,
+                scenario.relays().kept(), policy, now())::apply);
     }
 
     long clientWay(int relay, long client) {
--- a/lab/src/main/java/ambertrestle/lab/world/RelayEnd.java
+++ b/lab/src/main/java/ambertrestle/lab/world/RelayEnd.java
@@ -7,6 +7,8 @@
     public final String name;
     /** Its process runs. */
     protected boolean up;
+    /** When it was last started, or -1 once something was up through it since. */
+    private long firstUpSince = -1;
 
     protected RelayEnd(World world, int number) {
         this.world = world;
@@ -14,6 +16,18 @@
         this.name = "relay-" + number;
     }
 
+    protected final void starts() {
+        firstUpSince = world.now();
+    }
+
+    /** A client of it is up. */
+    final void cameUp() {
+        if (firstUpSince >= 0) {
+            world.firstUp(this, world.now() - firstUpSince);
+            firstUpSince = -1;
+        }
+    }
+
     /** Starts it, or again after a kill with the roster as it last had it; `ready` once it serves. */
     protected abstract void start(Runnable ready);
 
--- a/lab/src/main/java/ambertrestle/lab/world/RelayNode.java
+++ b/lab/src/main/java/ambertrestle/lab/world/RelayNode.java
@@ -1,5 +1,11 @@
 package ambertrestle.lab.world;
 
+import ambertrestle.lab.scenario.Scenario;
+import ambertrestle.relay.durable.Hand;
+import ambertrestle.relay.durable.Mirror;
+import ambertrestle.relay.durable.Recovery;
+import ambertrestle.relay.durable.Recovery.Beginning;
+import ambertrestle.relay.durable.StateFile;
 import ambertrestle.relay.memory.Effect;
 import ambertrestle.relay.memory.Event;
 import ambertrestle.relay.wire.Ask;
@@ -17,6 +23,9 @@
     private static final long MS = 1_000_000L;
     /** A longer line is none. */
     private static final int LONGEST = 4096;
+    private static final String ROSTER_AT = "roster:1";
+    /** A list heard no longer ago stands as it is; the daemon's default. */
+    private static final long SURE = 2_000 * MS;
     private static final FromClient LINE = new FromClient.Text(ClientLink.LINE);
 
     private final Model model;
@@ -32,6 +41,12 @@
     private final HeardRoster roster = new HeardRoster();
     private long watch;
     private Watch watching;
+    /** Its folder: what it kept, taken whole at an instant; null before it kept anything. */
+    private byte[] file;
+    private Mirror mirror;
+    private Hand hand;
+    private long listHeardAt;
+    private boolean heardOnce;
 
     RelayNode(Model model, int number) {
         super(model, number);
@@ -48,14 +63,69 @@
         up = true;
         stopping = false;
         accepted = 0;
+        heardOnce = false;
         if (roster.isEmpty()) {
             roster.take(world.roster.whole(), world.now());
         }
-        program = model.program(roster.known());
+        program = model.program(beginning());
+        if (life > 1) {
+            starts();
+        }
         apply(new Event.Woke());
+        if (world.scenario.relays().kept()) {
+            keep(life);
+        }
         ready.run();
     }
 
+    private Beginning beginning() {
+        RosterMessage known = switch (life == 1 ? Scenario.Known.LAST : world.scenario.relays().known()) {
+            case LAST -> roster.known();
+            case FIRST -> world.first();
+            case NONE -> new RosterMessage(0, true, List.of());
+        };
+        if (!world.scenario.relays().kept()) {
+            return Beginning.known(known);
+        }
+        try {
+            Beginning beginning = Recovery.begin(known, file == null ? null : StateFile.decode(file), ROSTER_AT, SURE, world.now());
+            mirror = new Mirror(name);
+            mirror.begin(ROSTER_AT, beginning.heardAt(), beginning.list());
+            hand = new Hand();
+            listHeardAt = beginning.heardAt();
+            return beginning;
+        } catch (StateFile.Refused e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** As the daemon's: twice an interval, in parts, each with the time between that the loop gets. */
+    private void keep(int mine) {
+        if (up && life == mine) {
+            apply(new Event.Keep());
+            world.clock.after(world.scenario.relays().interval() / 2, () -> keep(mine));
+        }
+    }
+
+    private void kept(Effect.Keep keep) {
+        hand.take(keep.part());
+        int mine = life;
+        if (keep.part().more()) {
+            world.clock.after(MS, () -> {
+                if (up && life == mine) {
+                    apply(new Event.Keep());
+                }
+            });
+            return;
+        }
+        // An empty line that says that the list stands comes every 2 s; the model leaves it out.
+        listHeardAt = watching != null && heardOnce && world.roster.down() == null ? world.now() : listHeardAt;
+        hand.into(mirror);
+        hand = new Hand();
+        mirror.heard(ROSTER_AT, listHeardAt);
+        file = StateFile.encode(mirror.picture(world.now()));
+    }
+
     long drainTold(String backend) {
         return roster.drainTold(backend);
     }
@@ -237,8 +307,16 @@
                     apply(new Event.Woke());
                 }
             });
+        } else if (effect instanceof Effect.Keep keep) {
+            kept(keep);
+        } else if (effect instanceof Effect.KeepRoster keep) {
+            heardOnce = true;
+            hand.take(keep.message());
         } else if (effect instanceof Effect.Stop) {
             int mine = life;
+            if (world.scenario.relays().kept()) {
+                apply(new Event.Keep());
+            }
             world.clock.after(200 * MS, () -> endNow(mine));
         }
     }
--- a/lab/src/main/java/ambertrestle/lab/world/RosterNode.java
+++ b/lab/src/main/java/ambertrestle/lab/world/RosterNode.java
@@ -1,6 +1,7 @@
 package ambertrestle.lab.world;
 
 import ambertrestle.decide.Listed.Stage;
+import ambertrestle.lab.scenario.Scenario.Down;
 import ambertrestle.relay.wire.RosterMessage;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -27,7 +28,8 @@
     private final TreeMap<Long, List<RosterMessage.Line>> coming = new TreeMap<>();
     private final Set<Watcher> watchers = new LinkedHashSet<>();
     private long index = 1;
-    private boolean down;
+    /** How it fails; null while it serves. */
+    private Down down;
     double lagFactor = 1;
 
     RosterNode(World world) {
@@ -92,7 +94,7 @@
 
     /** False while it is down: the call fails. */
     public boolean watch(Watcher watcher, long from) {
-        if (down) {
+        if (down != null) {
             return false;
         }
         watchers.add(watcher);
@@ -105,13 +107,13 @@
         watchers.remove(watcher);
     }
 
-    public boolean isDown() {
+    public Down down() {
         return down;
     }
 
-    void down(boolean on) {
-        down = on;
-        if (on) {
+    void down(Down how) {
+        down = how;
+        if (how != null) {
             List<Watcher> all = List.copyOf(watchers);
             watchers.clear();
             all.forEach(Watcher::cutOff);
--- a/lab/src/main/java/ambertrestle/lab/world/World.java
+++ b/lab/src/main/java/ambertrestle/lab/world/World.java
@@ -8,6 +8,7 @@
 import ambertrestle.lab.scenario.Spread;
 import ambertrestle.lab.world.Meter.Series;
 import ambertrestle.relay.memory.Roster;
+import ambertrestle.relay.wire.RosterMessage;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -38,6 +39,7 @@
     private final Map<String, BackendNode> byName = new HashMap<>();
     private final Map<Long, BackendNode> byId = new HashMap<>();
     private final Map<Long, ClientLink> opened = new HashMap<>();
+    private final RosterMessage first;
     private final double[] groupShares;
     private final List<String> happened = new ArrayList<>();
     /** For each pair of relay and backend that is cut off, until when. */
@@ -57,7 +59,7 @@
         this.clock = clock;
         chance = new SplittableRandom(seed);
         judge = new Judge(scenario, slack);
-        meter = new Meter(scenario.warmUp(), scenario.end());
+        meter = new Meter(scenario.warmUp(), scenario.end(), scenario.countFrom());
         for (Scenario.Fleet fleet : scenario.fleets()) {
             for (int i = 1; i <= fleet.count(); i++) {
                 BackendNode b = join(fleet, fleet.name() + "-" + i);
@@ -65,6 +67,7 @@
                 b.startedAt = fleet.cold() ? scenario.warmUp() : b.startedAt;
             }
         }
+        first = roster.whole();
         groupShares = new double[scenario.groups().count()];
         double sum = 0;
         for (int g = 0; g < groupShares.length; g++) {
@@ -85,6 +88,11 @@
         return backends;
     }
 
+    /** The list as it was before the run. */
+    public final RosterMessage first() {
+        return first;
+    }
+
     protected final List<RelayEnd> relays() {
         return relays;
     }
@@ -201,6 +209,9 @@
     /** Unix time of a time of the run. */
     protected abstract long wall(long time);
 
+    /** The roster service fails in that way, or serves again where null. */
+    protected void rosterGoes(Scenario.Down how) { }
+
     /** A partition begins or ends for that pair: sockets keep connections from coming up. */
     protected void cut(RelayEnd relay, BackendNode backend, boolean off) { }
 
@@ -343,7 +354,7 @@
                 }
             }
             case ROSTER_LAG -> whole(t, () -> roster.lagFactor = t.factor(), () -> roster.lagFactor = 1);
-            case ROSTER_DOWN -> whole(t, () -> roster.down(true), () -> roster.down(false));
+            case ROSTER_DOWN -> whole(t, () -> rosterDown(t.how()), () -> rosterDown(null));
             case RELAY_KILL -> relaysGo(t, false);
             case RELAY_RESTART -> relaysGo(t, true);
             case PARTITION -> {
@@ -370,6 +381,16 @@
         }
     }
 
+    /** Its first association is up since its start, so long ago. */
+    protected final void firstUp(RelayEnd relay, long nanos) {
+        note(String.format(java.util.Locale.ROOT, "%s has its first UP %d ms after its start", relay.name, nanos / MS));
+    }
+
+    private void rosterDown(Scenario.Down how) {
+        roster.down(how);
+        rosterGoes(how);
+    }
+
     private void relaysGo(Trouble t, boolean planned) {
         List<RelayEnd> gone = drawn(relays.stream().filter(r -> r.up).toList(), t.relays());
         note(t.kind().word() + " of " + gone.size() + " relays begins");
--- a/relay/src/main/java/ambertrestle/relay/durable/Hand.java
+++ b/relay/src/main/java/ambertrestle/relay/durable/Hand.java
@@ -31,7 +31,7 @@
     }
 
     /** Off the loop: from here on nobody else may touch it. */
-    void into(Mirror mirror) {
+    public void into(Mirror mirror) {
         if (index >= 0) {
             mirror.take(new RosterMessage(index, whole, List.copyOf(lines.values())));
         }
