--- a/core/src/main/java/ambertrestle/recover/Aging.java
+++ b/core/src/main/java/ambertrestle/recover/Aging.java
@@ -41,7 +41,7 @@
         return age >= 0 && age < LATE ? 1 : 0;
     }
 
-    /** Of what connections lived to their end here, of usual set-ups and loads, of what a backend carries. */
+    /** Of what connections lived to their end here, of usual set-ups and loads. */
     public static double carried(long age) {
         return age >= CARRIED ? 0 : halved(age, CARRIED_HALVES);
     }
@@ -68,10 +68,10 @@
         for (Judged j : kept.backends()) {
             double doubt = doubt(now - j.evidenceAt());
             boolean late = lateness(now - j.delayAt()) > 0;
-            // A bound fades by growing: the module lets it grow with the square of the time since, and here it ends.
-            boolean carries = j.lateAt() > 0 && j.lateAt() <= now && carried(now - j.lateAt()) > 0;
+            // Danger: what a backend carried of this relay's is a bound in connections, and a relay that is back holds others:
+            // taken back, it kept clients off backends that had room (docs/recovery.md has the figures).
             judged.add(new Judged(j.backend(), j.startedAt(), now, j.good() * doubt, j.bad() * doubt, j.slow() * doubt,
-                    carries ? j.carries() : 0, carries ? j.lateAt() : 0, late ? j.delay() : 0, late ? j.delayAt() : Long.MIN_VALUE / 2,
+                    0, 0, late ? j.delay() : 0, late ? j.delayAt() : Long.MIN_VALUE / 2,
                     j.heardAt() > now ? 0 : j.heardAt()));
         }
         List<Pin> pins = new ArrayList<>();
