--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -84,6 +84,8 @@
     private final Ledger ledger = new Ledger();
     /** When it began with a list so old that any backend may have started since; 0 once one is heard. */
     private long unseenAt;
+    /** Connections a nanosecond that lived to their end in the process before: its own take their time. */
+    private double keptRate;
     /** Over half of the backends tried lately fail set-ups: what they share is to blame. */
     private boolean jammed;
 
@@ -247,6 +249,7 @@
         ended = kept.whole().ended();
         endedAt = now;
         bornAt = Math.min(bornAt, now - kept.whole().lived());
+        keptRate = ended / (kept.whole().lived() + SECOND);
         setUp = kept.whole().setUp();
         usual = kept.whole().usual();
         notes = kept.whole().notes();
@@ -621,8 +624,8 @@
         // Where few are late, a warm backend could do some times what it is seen to do.
         int room = !tellsDelay || lates.size() * 8 > members.length ? 1 : 4;
         // Danger: with all of them counted as cold, parts of the cold weights would cancel what cold means.
-        double rate = fallMultiple * warmth(b, now) * room * ended / span * b.weight
-                / Math.max(unseenAt > 0 ? sizes : weights, 1e-9);
+        double rate = fallMultiple * warmth(b, now) * room * (unseenAt > 0 ? Math.max(keptRate, ended / span)
+                : ended / span) * b.weight / Math.max(unseenAt > 0 ? sizes : weights, 1e-9);
         // Danger: a relay that learned nothing must not sit idle; any backend sets up one connection a fall.
         return unseenAt > 0 ? Math.max(rate, fallMultiple / relays / fallFor) : rate;
     }
--- a/lab/src/main/java/ambertrestle/lab/Lab.java
+++ b/lab/src/main/java/ambertrestle/lab/Lab.java
@@ -6,6 +6,7 @@
 import ambertrestle.lab.report.Summary;
 import ambertrestle.lab.scenario.Scenario;
 import ambertrestle.lab.standin.Cost;
+import ambertrestle.lab.standin.Kills;
 import ambertrestle.lab.standin.SocketWorld;
 import ambertrestle.lab.world.Meter;
 import ambertrestle.lab.world.Model;
@@ -42,7 +43,7 @@
 /** The proving ground's command line. Exit codes: 0 fine, 1 faulty input or a broken rule, 2 wrong usage, 130 interrupted. */
 @Command(name = "ambertrestle-lab", mixinStandardHelpOptions = true, version = "ambertrestle-lab 0.2.0",
         description = "Plays scenarios of a fleet in trouble and reports what clients got.",
-        subcommands = {Lab.Demo.class, Lab.Run.class, Lab.Check.class, Lab.Compare.class, Lab.Costs.class})
+        subcommands = {Lab.Demo.class, Lab.Run.class, Lab.Check.class, Lab.Compare.class, Lab.Costs.class, Lab.KillWriters.class})
 public final class Lab implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -279,6 +280,41 @@
         }
     }
 
+    @Command(name = "kills", mixinStandardHelpOptions = true,
+            description = "Kills processes in the middle of writing a relay's state, so many times, and looks at what each leaves.")
+    static final class KillWriters implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Option(names = "--kills", defaultValue = "1000", description = "How many; default: ${DEFAULT-VALUE}.")
+        private int kills;
+        @Option(names = "--interval", defaultValue = "400", description = "durable.interval of the writers, ms; default: ${DEFAULT-VALUE}.")
+        private int interval;
+        @Option(names = "--backends", defaultValue = "1000", description = "Backends in the list; default: ${DEFAULT-VALUE}.")
+        private int backends;
+        @Option(names = "--pins", defaultValue = "8192", description = "Pins in the state; default: ${DEFAULT-VALUE}.")
+        private int pins;
+        @Option(names = "--jobs", defaultValue = "3", description = "Writers side by side; default: ${DEFAULT-VALUE}.")
+        private int jobs;
+        @Option(names = "--seed", defaultValue = "1", description = "Of the moments of the kills; default: ${DEFAULT-VALUE}.")
+        private long seed;
+
+        @Override
+        public Integer call() throws Exception {
+            if (kills < 1 || interval < 100 || backends < 1 || pins < 1 || jobs < 1) {
+                throw new ParameterException(spec.commandLine(), "--interval is 100 at least, all others 1");
+            }
+            Path dir = Files.createTempDirectory("kills");
+            Kills.Found found = new Kills(dir, interval * 1_000_000L, backends, pins).run(kills, jobs, seed);
+            Files.delete(dir);
+            spec.commandLine().getOut().printf(Locale.ROOT, "%d kills, interval %d ms: %d whole files found, %d writes cut in the middle, %d files passed over; "
+                    + "age of the newest at the kill: mean %d ms, most %d ms%n", found.kills(), interval, found.whole(), found.halves(), found.passedOver(),
+                    found.mean() / 1_000_000, found.oldest() / 1_000_000);
+            found.faults().forEach(f -> spec.commandLine().getErr().println(f));
+            spec.commandLine().getOut().flush();
+            return found.faults().isEmpty() && found.whole() == kills ? 0 : 1;
+        }
+    }
+
     /** The one place where a run's reports are written. */
     private static void report(Path dir, Scenario scenario, Mode mode, List<Result> results) throws IOException {
         Files.createDirectories(dir);
--- a/lab/src/main/java/ambertrestle/lab/standin/Daemon.java
+++ b/lab/src/main/java/ambertrestle/lab/standin/Daemon.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,7 +21,13 @@
     /** `operator`: its operator file, or null. */
     static Process start(Path jar, Path configuration, Path operator, Path log) throws IOException {
         List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx256m", "-Dvertx.disableDnsResolver=true", "-jar", jar.toString(), "serve"));
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx256m", "-Dvertx.disableDnsResolver=true"));
+        // As deployed, with the archive of classes where the build has left one beside the jar.
+        Path archive = jar.resolveSibling("ambertrestle.jsa");
+        if (Files.isRegularFile(archive) && Files.getLastModifiedTime(archive).compareTo(Files.getLastModifiedTime(jar)) > 0) {
+            words.add("-XX:SharedArchiveFile=" + archive);
+        }
+        words.addAll(List.of("-jar", jar.toString(), "serve"));
         if (operator != null) {
             words.addAll(List.of("--operator", operator.toString()));
         }
--- a/lab/src/test/java/ambertrestle/lab/ScenarioTest.java
+++ b/lab/src/test/java/ambertrestle/lab/ScenarioTest.java
@@ -50,6 +50,21 @@
                         "small.toml:29: trouble[2].backend is not known; the nearest known is backends");
     }
 
+    @Test
+    void whatIsKeptAndHowARosterServiceFailsIsCheckedToo() {
+        assertThatThrownBy(() -> Worlds.small("""
+                [[trouble]]
+                kind = "roster-down"
+                at = "1s"
+                how = "answers-504"
+                """)).hasMessageContaining("trouble[1].how is not known: expected one of refuses, hangs, "
+                        + "answers-503, half-a-line; the nearest known is answers-503, got answers-504");
+        assertThatThrownBy(() -> Scenario.read(ambertrestle.relay.sheet.Sheet.parse("s.toml", Worlds.SMALL.replace("count = 2\n",
+                "count = 2\nkept = \"yes\"\nknown = \"some\"\n").replace("length = ", "count-from = \"9s\"\nlength = "))))
+                .hasMessageContaining("relays.kept is malformed: expected true or false").hasMessageContaining("relays.known is not known")
+                .hasMessageContaining("count-from is malformed: expected a time before the run's length");
+    }
+
     @Test
     void aFaultyScenarioRunsNothingAndEndsWithOne() throws Exception {
         Path file = dir.resolve("faulty.toml");
--- a/lab/src/test/java/ambertrestle/lab/ShippedTest.java
+++ b/lab/src/test/java/ambertrestle/lab/ShippedTest.java
@@ -15,7 +15,8 @@
 class ShippedTest {
     /** A share far under what docs/distance.md tells is a defect; what is a little under it is for compare to say. */
     private static final Map<String, Double> LEAST = Map.of("retry-storm", 0.45, "store-slow", 0.55, "release-under-load", 0.6,
-            "crash-and-return", 0.8, "short-partition", 0.8);
+            "crash-and-return", 0.8, "short-partition", 0.8,
+            "kept-all", 0.6, "short-away", 0.5, "kept-silent", 0.8, "kept-rolling", 0.85);
 
     @Test
     void theModuleKeepsAllRulesInEveryShippedTroubleAndServesWhatItCan() throws Exception {
@@ -28,7 +29,7 @@
                 world.run(second -> true);
                 double share = world.meter.sum(Series.BENEFIT) / world.meter.sum(Series.OFFERED);
                 String name = world.scenario.name();
-                if (!world.judge.kept() || share < LEAST.getOrDefault(name, 0.95) || world.badUnanswered() > 0
+                if (!world.judge.kept() || share < LEAST.getOrDefault(name, name.startsWith("away-") ? 0.75 : 0.95) || world.badUnanswered() > 0
                         || world.account().get("answers unaccounted for") != 0 || world.account().get("ends unaccounted for") != 0) {
                     faults.put(name, share + " " + world.judge.breaches() + " " + world.badUnanswered() + " " + world.account());
                 }
--- a/lab/src/test/java/ambertrestle/lab/SocketsTest.java
+++ b/lab/src/test/java/ambertrestle/lab/SocketsTest.java
@@ -6,6 +6,7 @@
 import ambertrestle.lab.standin.SocketWorld;
 import ambertrestle.lab.world.Judge.Rule;
 import ambertrestle.lab.world.Meter.Series;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -42,6 +43,30 @@
         assertThat(world.happened()).anyMatch(line -> line.contains("relay-kill of 1 relays begins"));
     }
 
+    /** Killed with the roster service away and no list in their configuration, relays serve on what they kept. */
+    @Test
+    void relaysThatDiedWhileTheRosterWasAwayServeOnWhatTheyKept() throws Exception {
+        SocketWorld world = played("short-away.toml");
+        rulesAreKept(world);
+        for (String relay : new String[] {"relay-0", "relay-1"}) {
+            int died = indexOf(world, "relay-kill of 2 relays begins");
+            int up = indexOf(world, relay + " has its first UP");
+            assertThat(up).as(world.happened().toString()).isGreaterThan(died).isLessThan(indexOf(world, "roster-down ends"));
+            String log = Files.readString(dir.resolve(relay + ".log"));
+            assertThat(log).contains("start-from-known: ").contains("start-from-kept: begins with the kept list of 8 backends")
+                    .contains("until the roster service is heard all count as cold").contains("converging: ");
+        }
+    }
+
+    private static int indexOf(SocketWorld world, String what) {
+        for (int i = 0; i < world.happened().size(); i++) {
+            if (world.happened().get(i).contains(what)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
     /** While cut off, dials never come up: the relay must call them not connected and go on elsewhere. */
     @Test
     void connectionsThatNeverComeUpAndAFrozenBackendBreakNoRule() throws Exception {
--- a/relay/src/main/java/ambertrestle/cli/Cli.java
+++ b/relay/src/main/java/ambertrestle/cli/Cli.java
@@ -65,14 +65,8 @@
 
         @Override
         public Integer call() throws InterruptedException {
-            OperatorFile file = OperatorFile.NONE;
-            try {
-                file = operator == null ? file : OperatorFile.read(operator);
-            } catch (IOException e) {
-                spec.commandLine().getErr().println("ambertrestle: " + e.getMessage());
-                return 1;
-            } catch (OperatorFile.Faulty e) {
-                e.faults().forEach(f -> spec.commandLine().getErr().println("ambertrestle: " + f));
+            OperatorFile file = operator == null ? OperatorFile.NONE : operatorFile(operator, spec.commandLine().getErr());
+            if (file == null) {
                 return 1;
             }
             Map<String, String> environment = new HashMap<>(System.getenv());
@@ -94,6 +88,18 @@
         }
     }
 
+    /** Null where it is faulty, which `err` was told by file, line and key. */
+    public static OperatorFile operatorFile(Path path, PrintWriter err) {
+        try {
+            return OperatorFile.read(path);
+        } catch (IOException e) {
+            err.println("ambertrestle: " + e.getMessage());
+        } catch (OperatorFile.Faulty e) {
+            e.faults().forEach(f -> err.println("ambertrestle: " + f));
+        }
+        return null;
+    }
+
     /** Plays the simulator's batches; gives the exit code. */
     public static int simulate() {
         try {
--- a/relay/src/main/java/ambertrestle/relay/memory/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/memory/Reducer.java
@@ -50,7 +50,7 @@
     /** The part of the sockets that those may hold who have opened nothing yet. */
     private static final int SILENT_PART = 6;
     /** Danger: taking all that is learned at once would hold up the loop; so much takes well under a millisecond. */
-    private static final int PART_KEPT = 4096;
+    private static final int PART_KEPT = 1024;
     private static final byte[] PONG = line("PONG"), ERR = line("ERR"), BUSY = line("BUSY"), MOVE = line("MOVE");
 
     private final Decisions balancer;
--- a/relay/src/test/java/ambertrestle/ReducerTest.java
+++ b/relay/src/test/java/ambertrestle/ReducerTest.java
@@ -1,6 +1,9 @@
 package ambertrestle;
 
+import ambertrestle.decide.Balancer;
+import ambertrestle.decide.Kept;
 import ambertrestle.decide.Listed.Stage;
+import ambertrestle.relay.durable.Recovery;
 import ambertrestle.relay.memory.Effect;
 import ambertrestle.relay.memory.Event;
 import ambertrestle.relay.memory.Reducer;
@@ -43,6 +46,33 @@
         happens("start", new Event.Woke());
     }
 
+    private void startKept(Recovery.Beginning beginning) {
+        s.ticket.put("familyInfo.tellsDelay", "unseen");
+        reducer = new Reducer(new RunValues(s.ticket, 7,
+                List.of(2000 * Scene.MS, 2000 * Scene.MS, 2000 * Scene.MS), List.of("west"), List.of("m2"),
+                100 * Scene.MS, mostSockets, 150 * Scene.MS, packetsPass, new Address("r", 1)), beginning, true, Balancer::new, s.now);
+        happens("start", new Event.Woke());
+    }
+
+    /** An hour old: it names one that is gone and one that drains; the roster is away for 2 s. */
+    @Test
+    void anOldListIsServedWithCareUntilTheRosterIsHeard() throws Exception {
+        Kept kept = new Kept(0, new Kept.Whole(300, 10_000 * Scene.MS, 0, 0, 0, 0), List.of(), List.of(), false);
+        startKept(new Recovery.Beginning(Recovery.From.KEPT, list(3, true, "s-1", "s-2", "s-3", "s-4"), s.now - 3_600_000 * Scene.MS, true, true,
+                kept, List.of()));
+        wire("roster service refuses", new Heard.RosterBroke("not connected"));
+        s.at(300);
+        opens(1, "c=pay,d=2000,g=a1");
+        wire("no connection", new Heard.Gone(-1, true));
+        up(-2);
+        s.at(2000);
+        wire("roster: 1 gone, 2 drains", new Heard.Roster(list(9, false, "s-1=GONE", "s-2=DRAINING", "s-3")));
+        happens("keep", new Event.Keep());
+        opens(2, "c=pay,d=2000,g=a1");
+        wake(5_001);
+        s.matches("oldlist");
+    }
+
     private void happens(String what, Event event) {
         s.say(what);
         for (Effect effect : reducer.apply(event, s.now)) {
@@ -63,7 +93,10 @@
                     : ask instanceof Ask.Finish f ? "finish " + f.socket()
                     : ask instanceof Ask.Watch w ? "watch " + w.at() + " from " + w.index() : "";
         }
-        return effect instanceof Effect.Note note ? "note " + note.line() : effect instanceof Effect.Stop ? "stop" : "";
+        if (effect instanceof Effect.Keep keep) {
+            return "keep " + keep.part().backends().size() + " judged, " + keep.part().pins().size() + " pins";
+        }
+        return effect instanceof Effect.KeepRoster keep ? "keep roster " + keep.message().index() : effect instanceof Effect.Note note ? "note " + note.line() : effect instanceof Effect.Stop ? "stop" : "";
     }
 
     private static String text(byte[] raw) {
