Tell a refused or weighed state as a warning

A kept file that is torn or flipped was told among the ordinary lines, as the reducer's notes have one level. The start tells it itself now, before it serves. Seen with one bit flipped: WARNING state-refused, reason checksum.

--- a/relay/src/main/java/ambertrestle/relay/life/Serve.java
+++ b/relay/src/main/java/ambertrestle/relay/life/Serve.java
@@ -61,6 +61,7 @@
             String rosterAt = sheet.values().rosterAt().toString();
             Picture kept = keeper.read(now(), said);
             Recovery.Beginning beginning = Recovery.begin(sheet.known(), kept, rosterAt, durable.sure(), now()).saying(said);
+            beginning.said().forEach(Serve::tell);
             keeper.begin(rosterAt, beginning.heardAt(), beginning.list());
             safe = new Safe(vertx, keeper, durable.interval(), () -> happened(new Event.Keep()), watch, wallLess);
             reducer = new Reducer(sheet.values(), beginning, true, Balancer::new, now());
--- a/relay/src/main/java/ambertrestle/relay/memory/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/memory/Reducer.java
@@ -108,7 +108,6 @@
             balancer.remember(beginning.kept(), beginning.unseen(), now);
             // Danger: versions of another roster service mean nothing to this one; the whole list is asked for.
             roster.index = beginning.comparable() ? roster.index : -1;
-            toSay.addAll(beginning.said());
             toSay.add(start.begun());
         }
     }
