Read recovery again: one owner of the lock, one merge of a list, a keeping that cannot stop

Reading the whole change found: a folder that could not be locked at the start (read-only then) was written to later without the lock, where another relay may have it by now; one reducer event that failed while parts were gathered would have ended all keeping, silently; the grace of a drain was taken over from a process of that backend which has ended since; `lab kills` lost its findings where a round failed. Each is mended where it began: the disk owns its lock and every write asks for it, a part that does not come ends the gathering, a judgment of an earlier process gives nothing, what a faulty round left stays and its folder is named.

Written twice or for nothing, now once or gone: merging a list with its changes (RosterMessage.after), the list of a restarted relay and the emptying of folders in the lab, the start's own first line, the bound of what a backend carried (kept and never taken), an unused reader.

--- a/core/src/main/java/ambertrestle/decide/Backend.java
+++ b/core/src/main/java/ambertrestle/decide/Backend.java
@@ -70,23 +70,21 @@
 
     /** What of it outlives this process. */
     Kept.Judged judged() {
-        return new Kept.Judged(id, startedAt, evidenceAt, good, bad, slow, carries, lateAt, delay, delayAt,
+        return new Kept.Judged(id, startedAt, evidenceAt, good, bad, slow, delay, delayAt,
                 stage == Listed.Stage.READY ? 0 : heardAt);
     }
 
     /** Takes back what was kept; false, and it keeps what it has, where it has started anew since. */
     boolean remember(Kept.Judged kept) {
-        // Danger: a grace that begins anew with each start would let a drain be broken by restarting.
-        heardAt = stage != Listed.Stage.READY && kept.heardAt() > 0 ? Math.min(heardAt, kept.heardAt()) : heardAt;
         if (stage == Listed.Stage.GONE || kept.startedAt() != startedAt) {
             return false;
         }
+        // Danger: a grace that begins anew with each start would let a drain be broken by restarting.
+        heardAt = stage != Listed.Stage.READY && kept.heardAt() > 0 ? Math.min(heardAt, kept.heardAt()) : heardAt;
         good = kept.good();
         bad = kept.bad();
         slow = kept.slow();
         evidenceAt = kept.evidenceAt();
-        carries = kept.carries();
-        lateAt = kept.lateAt();
         delay = kept.delay();
         delayAt = kept.delayAt();
         return true;
--- a/core/src/main/java/ambertrestle/decide/Kept.java
+++ b/core/src/main/java/ambertrestle/decide/Kept.java
@@ -19,10 +19,9 @@
     }
 
     /**
-     * Of one backend, started at `startedAt`: the counts of doubt as they stood at `evidenceAt`, what it carries, its lateness,
-     * and when this relay heard that it drains or is gone (0 while neither).
+     * Of one backend, started at `startedAt`: the counts of doubt as they stood at `evidenceAt`, its lateness, and when this relay heard that it drains or is gone (0 while neither).
      */
-    public record Judged(long backend, long startedAt, long evidenceAt, double good, double bad, double slow, double carries, long lateAt,
+    public record Judged(long backend, long startedAt, long evidenceAt, double good, double bad, double slow,
             long delay, long delayAt, long heardAt) { }
 
     /** Where a key is pinned, and when its last connection ended there: OPEN while one is open, GONE where the pin went. */
--- a/core/src/main/java/ambertrestle/recover/Aging.java
+++ b/core/src/main/java/ambertrestle/recover/Aging.java
@@ -68,10 +68,8 @@
         for (Judged j : kept.backends()) {
             double doubt = doubt(now - j.evidenceAt());
             boolean late = lateness(now - j.delayAt()) > 0;
-            // Danger: what a backend carried of this relay's is a bound in connections, and a relay that is back holds others:
-            // taken back, it kept clients off backends that had room (docs/recovery.md has the figures).
             judged.add(new Judged(j.backend(), j.startedAt(), now, j.good() * doubt, j.bad() * doubt, j.slow() * doubt,
-                    0, 0, late ? j.delay() : 0, late ? j.delayAt() : Long.MIN_VALUE / 2,
+                    late ? j.delay() : 0, late ? j.delayAt() : Long.MIN_VALUE / 2,
                     j.heardAt() > now ? 0 : j.heardAt()));
         }
         List<Pin> pins = new ArrayList<>();
--- a/core/src/test/java/ambertrestle/KeptTest.java
+++ b/core/src/test/java/ambertrestle/KeptTest.java
@@ -34,7 +34,7 @@
         for (long age : new long[] {0, 1, 4, 20, 60, 300, 3_600, 86_400, -5}) {
             long at = now - age * SECOND;
             Kept kept = Aging.weighed(new Kept(1, new Whole(50, 10 * SECOND, 9 * Scene.MS, 3, 64, 0),
-                    List.of(new Judged(5, 0, at, 2, 8, 4, 30, at, 40 * Scene.MS, at, 0)),
+                    List.of(new Judged(5, 0, at, 2, 8, 4, 40 * Scene.MS, at, 0)),
                     List.of(new Pin(7, 5, Pin.OPEN), new Pin(8, 5, at)), false), at, now);
             s.trace.append(String.format("%7d s  %9.4f %9.4f %9.4f %9.4f %9.4f %9.4f %9d%n", age, Aging.doubt(age * SECOND), Aging.lateness(age * SECOND),
                     Aging.carried(age * SECOND), Aging.pin(age * SECOND), kept.backends().isEmpty() ? 0 : kept.backends().get(0).bad(),
@@ -103,7 +103,7 @@
     /** Danger: what comes from a clock that went back would never fade. */
     @Test
     void nothingIsTakenFromTheFuture() {
-        Kept kept = new Kept(1, Whole.NOTHING, List.of(new Judged(1, 0, 5, 0, 9, 0, 0, 0, 0, 0, 0)), List.of(new Pin(1, 1, 4)), false);
+        Kept kept = new Kept(1, Whole.NOTHING, List.of(new Judged(1, 0, 5, 0, 9, 0, 0, 0, 0)), List.of(new Pin(1, 1, 4)), false);
         assertThat(Aging.weighed(kept, 10, 9)).isEqualTo(Kept.NOTHING);
     }
 
--- a/lab/src/main/java/ambertrestle/lab/Lab.java
+++ b/lab/src/main/java/ambertrestle/lab/Lab.java
@@ -305,12 +305,16 @@
             }
             Path dir = Files.createTempDirectory("kills");
             Kills.Found found = new Kills(dir, interval * 1_000_000L, backends, pins).run(kills, jobs, seed);
-            Files.delete(dir);
             spec.commandLine().getOut().printf(Locale.ROOT, "%d kills, interval %d ms: %d whole files found, %d writes cut in the middle, %d files passed over; "
                     + "age of the newest at the kill: mean %d ms, most %d ms%n", found.kills(), interval, found.whole(), found.halves(), found.passedOver(),
                     found.mean() / 1_000_000, found.oldest() / 1_000_000);
-            found.faults().forEach(f -> spec.commandLine().getErr().println(f));
             spec.commandLine().getOut().flush();
+            found.faults().forEach(f -> spec.commandLine().getErr().println(f));
+            if (found.faults().isEmpty()) {
+                Files.delete(dir);
+            } else {
+                spec.commandLine().getErr().println("what they left is in " + dir);
+            }
             return found.faults().isEmpty() && found.whole() == kills ? 0 : 1;
         }
     }
--- a/lab/src/main/java/ambertrestle/lab/bench/KeptBench.java
+++ b/lab/src/main/java/ambertrestle/lab/bench/KeptBench.java
@@ -63,7 +63,7 @@
             long id = RosterMessage.id(name);
             listed.add(new Listed(id, Stage.READY, 0, 0, 1, 0, 0));
             lines.add(new RosterMessage.Line(name, "10.0.0.1:80", Stage.READY, "a", "s", 0, 1, 0));
-            judged.add(new Judged(id, 0, NOW, 1, 1, 0, 0, 0, 0, 0, 0));
+            judged.add(new Judged(id, 0, NOW, 1, 1, 0, 0, 0, 0));
         }
         balancer.roster(listed, true, false, NOW);
         List<Pin> pins = new ArrayList<>();
--- a/lab/src/main/java/ambertrestle/lab/scenario/Scenario.java
+++ b/lab/src/main/java/ambertrestle/lab/scenario/Scenario.java
@@ -24,7 +24,7 @@
     /** As the relay last had it; as it was before the run; none. */
     public enum Known { LAST, FIRST, NONE }
 
-    /** How a roster service that is down fails, on sockets: the model knows only the first two. */
+    /** How a roster service that is down fails, on sockets; in the model all four are calls that fail. */
     public enum Down { REFUSES, HANGS, ANSWERS_503, HALF_A_LINE }
 
     public record Network(long least, long most) { }
--- /dev/null
+++ b/lab/src/main/java/ambertrestle/lab/standin/Folders.java
@@ -0,0 +1,22 @@
+package ambertrestle.lab.standin;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Stream;
+
+/** Folders with files in them and nothing deeper. */
+final class Folders {
+    private Folders() { }
+
+    /** Makes it where it is not there. */
+    static Path empty(Path folder) throws IOException {
+        Files.createDirectories(folder);
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        return folder;
+    }
+}
--- a/lab/src/main/java/ambertrestle/lab/standin/Kills.java
+++ b/lab/src/main/java/ambertrestle/lab/standin/Kills.java
@@ -7,11 +7,12 @@
 import ambertrestle.relay.durable.DurableSheet;
 import ambertrestle.relay.durable.Hand;
 import ambertrestle.relay.durable.Keeper;
-import ambertrestle.relay.durable.Keeper.Said;
+import ambertrestle.relay.durable.Said;
 import ambertrestle.relay.durable.Picture;
 import ambertrestle.relay.wire.RosterMessage;
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -35,7 +36,11 @@
     private static final long READY_MILLIS = 20_000;
 
     /** What was found after all kills. `oldest`: of the files taken, the longest time from its picture to the kill. */
-    public record Found(int kills, int whole, int halves, int passedOver, long oldest, long mean, List<String> faults) { }
+    public record Found(int kills, int whole, int halves, int passedOver, long oldest, long mean, List<String> faults) {
+        private static Found fault(int number, String what) {
+            return new Found(1, 0, 0, 0, 0, 0, List.of("round " + number + ": " + what));
+        }
+    }
 
     private final Path dir;
     private final long interval;
@@ -85,7 +90,7 @@
         for (int b = 0; b < backends; b++) {
             String name = "s-" + b;
             lines.add(new RosterMessage.Line(name, "10.0." + b / 250 + "." + b % 250 + ":8000", Stage.READY, "a", "m2", 3, 1, 0));
-            judged.add(new Judged(RosterMessage.id(name), 0, now(), 1, 0.5, 0, 0, 0, 0, 0, 0));
+            judged.add(new Judged(RosterMessage.id(name), 0, now(), 1, 0.5, 0, 0, 0, 0));
         }
         List<Pin> all = new ArrayList<>();
         for (int p = 0; p < pins; p++) {
@@ -133,20 +138,19 @@
     }
 
     private Found one(int number, long after) throws IOException, InterruptedException {
-        Path folder = Files.createDirectories(dir.resolve("kill-" + number));
-        empty(folder);
+        Path folder = Folders.empty(dir.resolve("kill-" + number));
         Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-Xmx256m", "-cp", System.getProperty("java.class.path"), Kills.class.getName(), folder.toString(),
                 Long.toString(interval / MS), Integer.toString(backends), Integer.toString(pins))
                 .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.PIPE).start();
         try (InputStream out = process.getInputStream()) {
             byte[] first = new byte[6];
-            if (out.readNBytes(first, 0, 6) < 6 || !new String(first, java.nio.charset.StandardCharsets.US_ASCII).equals("writes")) {
-                return new Found(1, 0, 0, 0, 0, 0, List.of("round " + number + ": the writer said " + new String(first, java.nio.charset.StandardCharsets.US_ASCII)
-                        + new String(out.readAllBytes(), java.nio.charset.StandardCharsets.UTF_8)));
+            if (out.readNBytes(first, 0, 6) < 6 || !new String(first, StandardCharsets.US_ASCII).equals("writes")) {
+                return Found.fault(number, "the writer said " + new String(first, StandardCharsets.US_ASCII)
+                        + new String(out.readAllBytes(), StandardCharsets.UTF_8));
             }
             // Its first writes are slow, as its code is not yet compiled; some are let pass.
-            Thread.sleep(2 * interval / MS, (int) 0);
+            Thread.sleep(2 * interval / MS);
             long until = System.nanoTime() + after;
             while (System.nanoTime() < until) {
                 Thread.onSpinWait();
@@ -156,7 +160,7 @@
         }
         long killed = now();
         if (!process.waitFor(READY_MILLIS, TimeUnit.MILLISECONDS)) {
-            return new Found(1, 0, 0, 0, 0, 0, List.of("round " + number + ": the writer did not die"));
+            return Found.fault(number, "the writer did not die");
         }
         int halves;
         try (Stream<Path> files = Files.list(folder)) {
@@ -167,22 +171,16 @@
         try (Keeper keeper = Keeper.open(new DurableSheet(folder, interval, MOST_AGE, 64 << 20, 2 * SECOND), "killed", said)) {
             picture = keeper.read(now(), said);
         }
-        empty(folder);
-        Files.delete(folder);
         List<String> faults = new ArrayList<>();
         if (picture == null) {
             faults.add("round " + number + ": no whole file; " + said);
         } else if (picture.roster().lines().size() != backends || picture.kept().pins().size() != pins) {
             faults.add("round " + number + ": whole, and yet " + picture.roster().lines().size() + " backends and " + picture.kept().pins().size() + " pins");
         }
-        return new Found(1, picture == null ? 0 : 1, halves, said.size(), picture == null ? 0 : killed - picture.keptAt(), 0, faults);
-    }
-
-    private static void empty(Path folder) throws IOException {
-        try (Stream<Path> files = Files.list(folder)) {
-            for (Path file : files.toList()) {
-                Files.delete(file);
-            }
+        // What is at fault stays, to be looked at.
+        if (faults.isEmpty()) {
+            Files.delete(Folders.empty(folder));
         }
+        return new Found(1, picture == null ? 0 : 1, halves, said.size(), picture == null ? 0 : killed - picture.keptAt(), 0, faults);
     }
 }
--- a/lab/src/main/java/ambertrestle/lab/standin/RelayProcess.java
+++ b/lab/src/main/java/ambertrestle/lab/standin/RelayProcess.java
@@ -1,11 +1,9 @@
 package ambertrestle.lab.standin;
 
 import ambertrestle.lab.scenario.RelayFile;
-import ambertrestle.lab.scenario.Scenario;
 import ambertrestle.lab.world.ClientEnd;
 import ambertrestle.lab.world.HeardRoster;
 import ambertrestle.lab.world.RelayEnd;
-import ambertrestle.relay.wire.RosterMessage;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.parsetools.RecordParser;
@@ -14,10 +12,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 
 /** Owns one relay as it is shipped: a process, its configuration file, its log, and the clients' sockets to it. */
 final class RelayProcess extends RelayEnd {
@@ -56,13 +52,8 @@
         }
         try {
             Path file = dir.resolve(name + ".json");
-            RosterMessage known = switch (life == 1 ? Scenario.Known.LAST : place.scenario.relays().known()) {
-                case LAST -> heard.known();
-                case FIRST -> place.first();
-                case NONE -> new RosterMessage(0, true, List.of());
-            };
             Files.writeString(file, RelayFile.make(place.scenario, name, HOST + ":" + port, roster.address(), place.seed * 1000 + number * 10L + life,
-                    roster.encode(known)).encodePrettily());
+                    roster.encode(listed(life, heard))).encodePrettily());
             process = Daemon.start(jar, file, place.scenario.relays().kept() ? operator() : null, dir.resolve(name + ".log"));
             if (life > 1) {
                 starts();
@@ -76,23 +67,14 @@
     /** Its operator file, and the folder that outlives its processes. */
     private Path operator() throws IOException {
         Path kept = dir.resolve(name + ".kept");
+        // Danger: what an earlier run kept would be this run's past.
         if (life == 1) {
-            empty(kept);
+            Folders.empty(kept);
         }
         return Files.writeString(dir.resolve(name + ".toml"), "[durable]\nfolder = \"" + kept + "\"\ninterval = \""
                 + place.scenario.relays().interval() / MS + "ms\"\n");
     }
 
-    /** Danger: what an earlier run kept would be this run's past. */
-    private static void empty(Path folder) throws IOException {
-        Files.createDirectories(folder);
-        try (Stream<Path> files = Files.list(folder)) {
-            for (Path file : files.toList()) {
-                Files.delete(file);
-            }
-        }
-    }
-
     /** As the front does: it is taken in once it answers PING. */
     private void awaitPong(int mine, Runnable ready) {
         if (life != mine || !process.isAlive()) {
--- a/lab/src/main/java/ambertrestle/lab/world/RelayEnd.java
+++ b/lab/src/main/java/ambertrestle/lab/world/RelayEnd.java
@@ -1,5 +1,9 @@
 package ambertrestle.lab.world;
 
+import ambertrestle.lab.scenario.Scenario;
+import ambertrestle.relay.wire.RosterMessage;
+import java.util.List;
+
 /** One relay as clients, backends and troubles see it: in the model or as a process. */
 public abstract class RelayEnd {
     protected final World world;
@@ -16,6 +20,15 @@
         this.name = "relay-" + number;
     }
 
+    /** The list in its configuration at that start, the first being 1; `heard`: as it last had it. */
+    protected final RosterMessage listed(int start, HeardRoster heard) {
+        return switch (start == 1 ? Scenario.Known.LAST : world.scenario.relays().known()) {
+            case LAST -> heard.known();
+            case FIRST -> world.first();
+            case NONE -> new RosterMessage(0, true, List.of());
+        };
+    }
+
     protected final void starts() {
         firstUpSince = world.now();
     }
--- a/lab/src/main/java/ambertrestle/lab/world/RelayNode.java
+++ b/lab/src/main/java/ambertrestle/lab/world/RelayNode.java
@@ -1,6 +1,5 @@
 package ambertrestle.lab.world;
 
-import ambertrestle.lab.scenario.Scenario;
 import ambertrestle.relay.durable.Hand;
 import ambertrestle.relay.durable.Mirror;
 import ambertrestle.relay.durable.Recovery;
@@ -79,11 +78,7 @@
     }
 
     private Beginning beginning() {
-        RosterMessage known = switch (life == 1 ? Scenario.Known.LAST : world.scenario.relays().known()) {
-            case LAST -> roster.known();
-            case FIRST -> world.first();
-            case NONE -> new RosterMessage(0, true, List.of());
-        };
+        RosterMessage known = listed(life, roster);
         if (!world.scenario.relays().kept()) {
             return Beginning.known(known);
         }
--- a/lab/src/test/java/ambertrestle/lab/ArrowsTest.java
+++ b/lab/src/test/java/ambertrestle/lab/ArrowsTest.java
@@ -22,6 +22,8 @@
     void coreKnowsNobody() {
         none("ambertrestle.decide..", "ambertrestle.relay..", "ambertrestle.simhost..", "ambertrestle.cli..", "ambertrestle.lab..", "io..",
                 "com..", "org..", "picocli..", "java.net..", "java.nio..", "java.util.concurrent..").check(ALL);
+        none("ambertrestle.recover..", "ambertrestle.relay..", "ambertrestle.ticket..", "ambertrestle.lab..", "io..", "com..", "org..", "java.net..",
+                "java.nio..", "java.util.concurrent..").check(ALL);
         none("ambertrestle.ticket..", "ambertrestle.relay..", "ambertrestle.decide..", "ambertrestle.lab..", "io..", "com..", "org..").check(ALL);
     }
 
@@ -30,6 +32,14 @@
         none("ambertrestle.relay.memory..", "io.vertx..", "io.netty..", "java.net..", "java.nio.channels..", "java.util.concurrent..").check(ALL);
     }
 
+    @Test
+    void theRulesOfAStartTouchNoFileNoClockNoThread() {
+        noClasses().that().resideInAPackage("ambertrestle.relay.durable..").and()
+                .haveNameMatching(".*\\.(Recovery|Start|Mirror|Hand|Picture|StateFile|Said)(\\$.*)?")
+                .should().dependOnClassesThat().resideInAnyPackage("java.nio.file..", "java.nio.channels..", "java.util.concurrent..", "io..")
+                .orShould().dependOnClassesThat().haveNameMatching(".*\\.(Keeper|Folder|Disk|RealDisk)").check(ALL);
+    }
+
     @Test
     void nobodyKnowsTheLab() {
         noClasses().that().resideOutsideOfPackage("ambertrestle.lab..").should().dependOnClassesThat()
--- a/relay/src/main/java/ambertrestle/cli/StateCommand.java
+++ b/relay/src/main/java/ambertrestle/cli/StateCommand.java
@@ -106,10 +106,10 @@
             out.printf("%-24s %-9s %-24s %s%n", l.name(), l.stage().name().toLowerCase(Locale.ROOT), l.sinceMillis() == 0 ? "long ago"
                     : Instant.ofEpochMilli(l.sinceMillis()), l.address());
         }
-        out.printf("%n%-24s %8s %8s %8s %9s %9s %7s%n", "judged", "stood", "failed", "slow", "carries", "late ms", "weight");
+        out.printf("%n%-24s %8s %8s %8s %9s %7s%n", "judged", "stood", "failed", "slow", "late ms", "weight");
         for (Judged j : k.backends()) {
-            out.printf(Locale.ROOT, "%-24s %8.2f %8.2f %8.2f %9.2f %9d %7.3f%n", names.getOrDefault(j.backend(), Long.toHexString(j.backend())),
-                    j.good(), j.bad(), j.slow(), j.carries(), j.delay() / 1_000_000, Aging.doubt(now - j.evidenceAt()));
+            out.printf(Locale.ROOT, "%-24s %8.2f %8.2f %8.2f %9d %7.3f%n", names.getOrDefault(j.backend(), Long.toHexString(j.backend())),
+                    j.good(), j.bad(), j.slow(), j.delay() / 1_000_000, Aging.doubt(now - j.evidenceAt()));
         }
         out.printf("%n%d pins%n", k.pins().size());
         for (Pin pin : pins ? k.pins() : java.util.List.<Pin>of()) {
--- a/relay/src/main/java/ambertrestle/relay/durable/Disk.java
+++ b/relay/src/main/java/ambertrestle/relay/durable/Disk.java
@@ -4,7 +4,13 @@
 import java.util.List;
 
 /** One folder's files, and each step of keeping one that can fail by itself; tests put failures in its place. */
-interface Disk {
+interface Disk extends AutoCloseable {
+    /** Returns once it is held, also where it was before; throws {@link InUse} while another relay holds it. */
+    void lock() throws IOException;
+
+    @Override
+    void close() throws IOException;
+
     List<String> names() throws IOException;
 
     long size(String name) throws IOException;
--- a/relay/src/main/java/ambertrestle/relay/durable/Folder.java
+++ b/relay/src/main/java/ambertrestle/relay/durable/Folder.java
@@ -12,7 +12,7 @@
  * The two newest generations of a relay's state in one folder. A file has its name only once it is whole: it is written under
  * another, synced, renamed, and the folder synced, before the generation before the last goes. One user at a time.
  */
-public final class Folder {
+final class Folder {
     private static final Pattern NAME = Pattern.compile("state-(\\d{18})"), HALF = Pattern.compile("state-\\d{18}\\.new");
     private static final int GENERATIONS = 2;
 
@@ -25,10 +25,10 @@
     private long generation;
 
     /** One file that was not taken, and why. */
-    public record Passed(String file, Refused why) { }
+    record Passed(String file, Refused why) { }
 
     /** The newest that is whole and this relay's, or null, and those passed over before it was met. */
-    public record Found(String file, Picture picture, List<Passed> passed) { }
+    record Found(Picture picture, List<Passed> passed) { }
 
     Folder(Disk disk, String relay, long mostAge, long mostBytes) {
         this.disk = disk;
@@ -42,7 +42,6 @@
         List<String> files = new ArrayList<>(disk.names().stream().filter(n -> NAME.matcher(n).matches()).toList());
         files.sort(Comparator.reverseOrder());
         Picture found = null;
-        String from = null;
         List<Passed> passed = new ArrayList<>();
         for (String file : files) {
             generation = Math.max(generation, Long.parseLong(file.substring(6)));
@@ -50,7 +49,6 @@
                 Picture picture = picture(file, now);
                 if (found == null) {
                     found = picture;
-                    from = file;
                 }
                 ours.add(0, file);
             } catch (Refused e) {
@@ -63,7 +61,7 @@
                 }
             }
         }
-        return new Found(from, found, passed);
+        return new Found(found, passed);
     }
 
     private Picture picture(String file, long now) throws Refused {
@@ -126,9 +124,4 @@
             }
         }
     }
-
-    /** Reads a relay's folder without a lock, as the command line does. */
-    public static Found look(Disk disk, String relay, long now) throws IOException {
-        return new Folder(disk, relay, Long.MAX_VALUE, Long.MAX_VALUE).read(now);
-    }
 }
--- a/relay/src/main/java/ambertrestle/relay/durable/Keeper.java
+++ b/relay/src/main/java/ambertrestle/relay/durable/Keeper.java
@@ -2,6 +2,7 @@
 
 import ambertrestle.relay.wire.RosterMessage;
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -9,30 +10,30 @@
  * so after the start they come from one thread beside the event loop, one at a time.
  */
 public final class Keeper implements AutoCloseable {
-    private final RealDisk lock;
+    private final Disk disk;
     private final Folder folder;
     private final Mirror mirror;
     private final long mostBytes;
     private boolean failing;
 
-    Keeper(RealDisk lock, Disk disk, String relay, long mostAge, long mostBytes) {
-        this.lock = lock;
+    private Keeper(Disk disk, String relay, long mostAge, long mostBytes) {
+        this.disk = disk;
         folder = new Folder(disk, relay, mostAge, mostBytes);
         mirror = new Mirror(relay);
         this.mostBytes = mostBytes;
     }
 
-    /** A line for the log. */
-    public record Said(boolean bad, String event, String line, Map<String, String> fields) { }
+    /** Throws {@link InUse} where another relay has the folder; other troubles are told and the relay serves. */
+    public static Keeper open(DurableSheet sheet, String relay, List<Said> said) throws InUse {
+        return open(new RealDisk(sheet.folder()), sheet, relay, said);
+    }
 
-    /** Throws {@link RealDisk.InUse} where another relay has the folder; other troubles are told and the relay serves. */
-    public static Keeper open(DurableSheet sheet, String relay, java.util.List<Said> said) throws RealDisk.InUse {
-        RealDisk disk = new RealDisk(sheet.folder());
-        Keeper keeper = new Keeper(disk, disk, relay, sheet.mostAge(), sheet.mostBytes());
+    static Keeper open(Disk disk, DurableSheet sheet, String relay, List<Said> said) throws InUse {
+        Keeper keeper = new Keeper(disk, relay, sheet.mostAge(), sheet.mostBytes());
         try {
             disk.lock();
             keeper.folder.clearHalves();
-        } catch (RealDisk.InUse e) {
+        } catch (InUse e) {
             throw e;
         } catch (IOException e) {
             // Danger: a folder that cannot be written to is no reason not to serve, nor not to read what is in it.
@@ -43,7 +44,7 @@
     }
 
     /** The newest picture that may be taken, or null; each file passed over is told. */
-    public Picture read(long now, java.util.List<Said> said) {
+    public Picture read(long now, List<Said> said) {
         try {
             Folder.Found found = folder.read(now);
             for (Folder.Passed p : found.passed()) {
@@ -73,13 +74,14 @@
         boolean without = file.length > mostBytes;
         if (without) {
             // The list is what a relay cannot do without; then what was judged, then pins.
-            picture = Recovery.withoutPins(picture);
-            file = StateFile.encode(picture);
+            file = StateFile.encode(picture.withoutPins());
         }
         try {
             if (file.length > mostBytes) {
                 throw new IOException("it takes " + file.length + " bytes, more than durable.most-megabytes");
             }
+            // Danger: a folder that could not be locked at the start may since have become another relay's.
+            disk.lock();
             folder.write(file);
         } catch (IOException e) {
             boolean first = !failing;
@@ -100,6 +102,6 @@
 
     @Override
     public void close() throws IOException {
-        lock.close();
+        disk.close();
     }
 }
--- a/relay/src/main/java/ambertrestle/relay/durable/Mirror.java
+++ b/relay/src/main/java/ambertrestle/relay/durable/Mirror.java
@@ -3,14 +3,12 @@
 import ambertrestle.decide.Kept;
 import ambertrestle.decide.Kept.Judged;
 import ambertrestle.decide.Kept.Pin;
-import ambertrestle.decide.Listed.Stage;
 import ambertrestle.relay.wire.RosterMessage;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.stream.Collectors;
 
 /**
@@ -21,8 +19,7 @@
     private final String relay;
     private String rosterAt = "";
     private long heardAt;
-    private long index = -1;
-    private final TreeMap<String, RosterMessage.Line> lines = new TreeMap<>();
+    private RosterMessage list = new RosterMessage(-1, true, List.of());
     private final Map<Long, Judged> judged = new HashMap<>();
     /** Least lately changed first. */
     private final LinkedHashMap<Long, Pin> pins = new LinkedHashMap<>();
@@ -41,17 +38,7 @@
 
     /** The list as that service has it, whole or what changed. */
     public void take(RosterMessage message) {
-        index = message.index();
-        if (message.whole()) {
-            lines.clear();
-        }
-        for (RosterMessage.Line line : message.lines()) {
-            if (line.stage() == Stage.GONE) {
-                lines.remove(line.name());
-            } else {
-                lines.put(line.name(), line);
-            }
-        }
+        list = list.after(message);
     }
 
     public void heard(String from, long at) {
@@ -75,10 +62,10 @@
 
     /** All of it now: judgments of backends that are listed, the pins changed last at the end. */
     public Picture picture(long now) {
-        judged.keySet().retainAll(lines.keySet().stream().map(RosterMessage::id).collect(Collectors.toSet()));
+        judged.keySet().retainAll(list.lines().stream().map(l -> RosterMessage.id(l.name())).collect(Collectors.toSet()));
         List<Judged> sorted = new ArrayList<>(judged.values());
         sorted.sort((x, y) -> Long.compareUnsigned(x.backend(), y.backend()));
-        return new Picture(relay, rosterAt, now, heardAt, new RosterMessage(index, true, List.copyOf(lines.values())),
+        return new Picture(relay, rosterAt, now, heardAt, list,
                 new Kept(table, whole, sorted, List.copyOf(pins.values()), false));
     }
 }
--- a/relay/src/main/java/ambertrestle/relay/durable/RealDisk.java
+++ b/relay/src/main/java/ambertrestle/relay/durable/RealDisk.java
@@ -13,27 +13,22 @@
 import java.util.stream.Stream;
 
 /** The folder itself. Owns the lock on it, which the system takes back when the process ends, however it ends. */
-public final class RealDisk implements Disk, AutoCloseable {
+final class RealDisk implements Disk {
     private static final String LOCK = "lock";
 
     private final Path folder;
     private FileChannel channel;
 
-    /** Another process, or another relay of this one, holds the folder. */
-    public static final class InUse extends IOException {
-        private static final long serialVersionUID = 1L;
-
-        InUse() {
-            super("is in use by another relay");
-        }
-    }
-
-    public RealDisk(Path folder) {
+    RealDisk(Path folder) {
         this.folder = folder;
     }
 
     /** Danger: two relays that write into one folder would each delete what the other has just kept. */
+    @Override
     public void lock() throws IOException {
+        if (channel != null) {
+            return;
+        }
         channel = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         FileLock lock;
         try {
--- a/relay/src/main/java/ambertrestle/relay/durable/Recovery.java
+++ b/relay/src/main/java/ambertrestle/relay/durable/Recovery.java
@@ -2,7 +2,6 @@
 
 import ambertrestle.decide.Kept;
 import ambertrestle.recover.Aging;
-import ambertrestle.relay.durable.Keeper.Said;
 import ambertrestle.relay.wire.RosterMessage;
 import java.util.ArrayList;
 import java.util.List;
@@ -23,12 +22,6 @@
         public static Beginning known(RosterMessage known) {
             return new Beginning(known.lines().isEmpty() ? From.NOTHING : From.KNOWN, known, 0, false, true, Kept.NOTHING, List.of());
         }
-
-        public Beginning saying(List<Said> before) {
-            List<Said> all = new ArrayList<>(before);
-            all.addAll(said);
-            return new Beginning(from, list, heardAt, unseen, comparable, kept, all);
-        }
     }
 
     private Recovery() { }
@@ -60,23 +53,6 @@
                 !keptList || sameService, future ? Kept.NOTHING : Aging.weighed(kept.kept(), kept.keptAt(), now), said);
     }
 
-    /** The list with its changes: what it is after them. */
-    public static RosterMessage merged(RosterMessage list, RosterMessage changes) {
-        if (changes.whole()) {
-            return changes;
-        }
-        Mirror mirror = new Mirror("");
-        mirror.take(list);
-        mirror.take(changes);
-        return new RosterMessage(changes.index(), true, mirror.picture(0).roster().lines());
-    }
-
-    static Picture withoutPins(Picture p) {
-        Kept k = p.kept();
-        return new Picture(p.relay(), p.rosterAt(), p.keptAt(), p.heardAt(), p.roster(),
-                new Kept(k.table(), k.whole(), k.backends(), List.of(), false));
-    }
-
     /** For a person: seconds with one digit, or what is not known. */
     static String ago(long heardAt, long now) {
         return heardAt == 0 ? "at an unknown time" : String.format(Locale.ROOT, "%.1f s ago", (now - heardAt) / 1e9);
--- a/relay/src/main/java/ambertrestle/relay/durable/Start.java
+++ b/relay/src/main/java/ambertrestle/relay/durable/Start.java
@@ -1,7 +1,6 @@
 package ambertrestle.relay.durable;
 
 import ambertrestle.decide.Listed.Stage;
-import ambertrestle.relay.durable.Keeper.Said;
 import ambertrestle.relay.durable.Recovery.Beginning;
 import ambertrestle.relay.wire.RosterMessage;
 import java.util.HashMap;
@@ -24,6 +23,7 @@
     private At at = At.ON_OLD_LIST;
     private long steadySince;
     private int broken;
+    private boolean told;
 
     public Start(Beginning beginning, long now) {
         this.beginning = beginning;
@@ -39,7 +39,7 @@
         return at == At.CONVERGING ? steadySince + STEADY : Long.MAX_VALUE;
     }
 
-    public Said begun() {
+    private Said begun() {
         int backends = beginning.list().lines().size();
         String which = switch (beginning.from()) {
             case NOTHING -> "with no list: it waits for the roster service";
@@ -85,8 +85,12 @@
         }
     }
 
-    /** Null while there is nothing to tell. */
+    /** First what it begins with; null while there is nothing to tell. */
     public Said woke(long now) {
+        if (!told) {
+            told = true;
+            return begun();
+        }
         if (at != At.CONVERGING || now < wakeAt()) {
             return null;
         }
--- a/relay/src/main/java/ambertrestle/relay/durable/StateFile.java
+++ b/relay/src/main/java/ambertrestle/relay/durable/StateFile.java
@@ -157,10 +157,10 @@
             for (long whole : new long[] {j.backend(), j.startedAt(), j.evidenceAt()}) {
                 out.writeNumber(whole);
             }
-            for (double part : new double[] {j.good(), j.bad(), j.slow(), j.carries()}) {
+            for (double part : new double[] {j.good(), j.bad(), j.slow()}) {
                 out.writeNumber(part);
             }
-            for (long whole : new long[] {j.lateAt(), j.delay(), j.delayAt(), j.heardAt()}) {
+            for (long whole : new long[] {j.delay(), j.delayAt(), j.heardAt()}) {
                 out.writeNumber(whole);
             }
             out.writeEndArray();
@@ -207,8 +207,8 @@
         List<Judged> judged = new ArrayList<>();
         begin(in);
         while (in.nextToken() == JsonToken.START_ARRAY) {
-            judged.add(new Judged(whole(in), whole(in), whole(in), number(in), number(in), number(in), number(in), whole(in), whole(in),
-                    whole(in), whole(in)));
+            judged.add(new Judged(whole(in), whole(in), whole(in), number(in), number(in), number(in), whole(in), whole(in),
+                    whole(in)));
             end(in, in.nextToken());
         }
         end(in, in.currentToken());
--- a/relay/src/main/java/ambertrestle/relay/life/Safe.java
+++ b/relay/src/main/java/ambertrestle/relay/life/Safe.java
@@ -28,6 +28,8 @@
     private final WorkerExecutor beside;
     private Hand hand = new Hand();
     private boolean gathering;
+    /** Counts the parts that came. */
+    private long taken;
     private boolean writing;
     private long writingSince;
     private boolean toldLate;
@@ -60,14 +62,22 @@
         }
         if (!writing && !gathering) {
             gathering = true;
-            ask.run();
+            askForPart();
         }
     }
 
+    /** Danger: where the reducer fails, no part comes, and nothing would ever be kept again. */
+    private void askForPart() {
+        long parts = taken;
+        ask.run();
+        gathering = gathering && taken > parts;
+    }
+
     void take(Kept part) {
+        taken++;
         hand.take(part);
         if (part.more()) {
-            vertx.setTimer(1, t -> ask.run());
+            vertx.setTimer(1, t -> askForPart());
         } else {
             gathering = false;
             write();
@@ -112,7 +122,8 @@
         vertx.setTimer(LAST_MILLIS, t -> once.run());
         whenOver = once;
         last = true;
-        lastOrOver();
+        // What asks for this is an event in hand, within which no part comes.
+        vertx.setTimer(1, t -> lastOrOver());
     }
 
     private void lastOrOver() {
--- a/relay/src/main/java/ambertrestle/relay/life/Serve.java
+++ b/relay/src/main/java/ambertrestle/relay/life/Serve.java
@@ -2,10 +2,10 @@
 
 import ambertrestle.decide.Balancer;
 import ambertrestle.relay.durable.DurableSheet;
+import ambertrestle.relay.durable.InUse;
 import ambertrestle.relay.durable.Keeper;
-import ambertrestle.relay.durable.Keeper.Said;
+import ambertrestle.relay.durable.Said;
 import ambertrestle.relay.durable.Picture;
-import ambertrestle.relay.durable.RealDisk;
 import ambertrestle.relay.durable.Recovery;
 import ambertrestle.relay.life.RunSheet.BadSheet;
 import ambertrestle.relay.memory.Effect;
@@ -60,8 +60,9 @@
         } else {
             String rosterAt = sheet.values().rosterAt().toString();
             Picture kept = keeper.read(now(), said);
-            Recovery.Beginning beginning = Recovery.begin(sheet.known(), kept, rosterAt, durable.sure(), now()).saying(said);
-            beginning.said().forEach(Serve::tell);
+            Recovery.Beginning beginning = Recovery.begin(sheet.known(), kept, rosterAt, durable.sure(), now());
+            said.addAll(beginning.said());
+            said.forEach(Serve::tell);
             keeper.begin(rosterAt, beginning.heardAt(), beginning.list());
             safe = new Safe(vertx, keeper, durable.interval(), () -> happened(new Event.Keep()), watch, wallLess);
             reducer = new Reducer(sheet.values(), beginning, true, Balancer::new, now());
@@ -83,7 +84,7 @@
         if (durable != null) {
             try {
                 keeper = Keeper.open(durable, sheet.name(), said);
-            } catch (RealDisk.InUse e) {
+            } catch (InUse e) {
                 fail("durable.folder " + durable.folder() + " " + e.getMessage());
                 return;
             }
--- a/relay/src/main/java/ambertrestle/relay/memory/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/memory/Reducer.java
@@ -7,8 +7,7 @@
 import ambertrestle.decide.Decisions;
 import ambertrestle.decide.Outcome;
 import ambertrestle.relay.memory.Connection.Stage;
-import ambertrestle.relay.durable.Keeper.Said;
-import ambertrestle.relay.durable.Recovery;
+import ambertrestle.relay.durable.Said;
 import ambertrestle.relay.durable.Recovery.Beginning;
 import ambertrestle.relay.durable.Start;
 import ambertrestle.relay.wire.Address;
@@ -79,7 +78,6 @@
     /** How far its start has come; null where nothing is kept. */
     private final Beginning beginning;
     private final Start start;
-    private final List<Said> toSay = new ArrayList<>();
     private long toldToStopAt, stopAt = Long.MAX_VALUE;
     private boolean stopped;
 
@@ -108,7 +106,6 @@
             balancer.remember(beginning.kept(), beginning.unseen(), now);
             // Danger: versions of another roster service mean nothing to this one; the whole list is asked for.
             roster.index = beginning.comparable() ? roster.index : -1;
-            toSay.add(start.begun());
         }
     }
 
@@ -535,8 +532,8 @@
         if (start != null) {
             effects.add(new Effect.KeepRoster(message));
             // Danger: changes leave out what did not change, whose age would count as unknown for good.
-            list = start.at() == Start.At.ON_OLD_LIST ? Recovery.merged(beginning.list(), message) : message;
-            toSay.add(start.heard(list, now));
+            list = start.at() == Start.At.ON_OLD_LIST ? beginning.list().after(message) : message;
+            say(start.heard(list, now));
         }
         balancer.roster(roster.take(list), list.whole(), false, now);
     }
@@ -566,14 +563,8 @@
             tell(now);
         }
         if (start != null) {
-            toSay.add(start.woke(now));
+            say(start.woke(now));
         }
-        for (Said said : toSay) {
-            if (said != null) {
-                effects.add(new Effect.Note(said.event(), said.line(), said.fields()));
-            }
-        }
-        toSay.clear();
         Chores chores = balancer.howLong(now);
         // Danger: where the settings say that changes come by themselves, the module never asks; on sockets none come.
         // Danger: a watch moved meanwhile must not be torn down by the retry that the one before had coming.
@@ -693,6 +684,12 @@
         effects.add(new Effect.OnWire(ask));
     }
 
+    private void say(Said said) {
+        if (said != null) {
+            effects.add(new Effect.Note(said.event(), said.line(), said.fields()));
+        }
+    }
+
     private void note(String event, String line) {
         effects.add(new Effect.Note(event, line, Map.of()));
     }
--- a/relay/src/main/java/ambertrestle/relay/wire/RosterMessage.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/RosterMessage.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeMap;
 
 /** One message of the roster service: all backends, or those that changed. */
 public record RosterMessage(long index, boolean whole, List<Line> lines) {
@@ -21,6 +22,17 @@
         return hash;
     }
 
+    /** The whole list as it is after these changes, or after that list. */
+    public RosterMessage after(RosterMessage changes) {
+        TreeMap<String, Line> byName = new TreeMap<>();
+        if (!changes.whole) {
+            lines.forEach(l -> byName.put(l.name, l));
+        }
+        changes.lines.forEach(l -> byName.put(l.name, l));
+        byName.values().removeIf(l -> l.stage == Stage.GONE);
+        return new RosterMessage(changes.index, true, List.copyOf(byName.values()));
+    }
+
     /** Throws IllegalArgumentException, naming the key, on what is no message. */
     public static RosterMessage decode(JsonObject json) {
         try {
--- a/relay/src/test/java/ambertrestle/cli/StateCommandTest.java
+++ b/relay/src/test/java/ambertrestle/cli/StateCommandTest.java
@@ -34,7 +34,7 @@
     private static Picture picture() {
         long a = RosterMessage.id("a");
         return new Picture("r", "d:1", AT, AT, new RosterMessage(41, true, List.of(new RosterMessage.Line("a", "10.0.0.1:80", Stage.READY, "w",
-                "m", 0, 1, 0))), new Kept(1, new Whole(22, 10_000_000_000L, 5e6, 0, 0, 0), List.of(new Judged(a, 0, AT, 1, 8, 4, 30, AT,
+                "m", 0, 1, 0))), new Kept(1, new Whole(22, 10_000_000_000L, 5e6, 0, 0, 0), List.of(new Judged(a, 0, AT, 1, 8, 4,
                 40_000_000, AT, 0)), List.of(new Pin(-7, a, Pin.OPEN), new Pin(8, a, AT)), false));
     }
 
--- a/relay/src/test/java/ambertrestle/relay/durable/FaultyDisk.java
+++ b/relay/src/test/java/ambertrestle/relay/durable/FaultyDisk.java
@@ -23,6 +23,8 @@
     /** So many bytes fit in all. */
     long room = Long.MAX_VALUE;
     boolean readOnly;
+    /** Another relay holds it. */
+    boolean others;
 
     private void live() {
         if (lives-- <= 0) {
@@ -38,6 +40,21 @@
         steps.append(what).append(' ');
     }
 
+    @Override
+    public void lock() throws IOException {
+        if (readOnly) {
+            throw new IOException("Read-only file system");
+        }
+        if (others) {
+            throw new InUse();
+        }
+    }
+
+    @Override
+    public void close() {
+        // Nothing is held in memory.
+    }
+
     @Override
     public List<String> names() {
         return List.copyOf(files.keySet());
--- a/relay/src/test/java/ambertrestle/relay/durable/FolderTest.java
+++ b/relay/src/test/java/ambertrestle/relay/durable/FolderTest.java
@@ -5,7 +5,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import ambertrestle.relay.durable.Keeper.Said;
 import ambertrestle.relay.durable.StateFile.Reason;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -190,7 +189,7 @@
     @Test
     void ofTwoOnOneFolderTheSecondIsRefusedUntilTheFirstIsGone() throws IOException {
         Keeper first = Keeper.open(sheet(), "r", new ArrayList<>());
-        assertThatThrownBy(() -> Keeper.open(sheet(), "r", new ArrayList<>())).isInstanceOf(RealDisk.InUse.class);
+        assertThatThrownBy(() -> Keeper.open(sheet(), "r", new ArrayList<>())).isInstanceOf(InUse.class);
         first.close();
         Keeper.open(sheet(), "r", new ArrayList<>()).close();
     }
@@ -220,8 +219,8 @@
     }
 
     @Test
-    void aKeeperWhoseDiskFailsSaysSoOnceAndOnceMoreWhenItWorksAgain() {
-        Keeper keeper = new Keeper(null, disk, "r", DAY, 1 << 20);
+    void aKeeperWhoseDiskFailsSaysSoOnceAndOnceMoreWhenItWorksAgain() throws Exception {
+        Keeper keeper = Keeper.open(disk, sheet(), "r", new ArrayList<>());
         keeper.read(NOW, new ArrayList<>());
         disk.readOnly = true;
         assertThat(keeper.write(new Hand(), null, 0, NOW).event()).isEqualTo("state-not-kept");
@@ -232,8 +231,23 @@
     }
 
     @Test
-    void whatIsTooLargeIsKeptWithoutPinsAndSaysSo() throws IOException {
-        Keeper keeper = new Keeper(null, disk, "r", DAY, 2_000);
+    void aFolderThatCouldNotBeLockedAtTheStartIsWrittenToOnlyOnceItIsLocked() throws Exception {
+        disk.readOnly = true;
+        List<Said> said = new ArrayList<>();
+        Keeper keeper = Keeper.open(disk, sheet(), "r", said);
+        assertThat(said).extracting(Said::event).containsExactly("state-not-kept");
+        disk.readOnly = false;
+        disk.others = true;
+        assertThat(keeper.write(new Hand(), null, 0, NOW)).as("said already").isNull();
+        assertThat(disk.files).isEmpty();
+        disk.others = false;
+        assertThat(keeper.write(new Hand(), null, 0, NOW).event()).isEqualTo("state-kept-again");
+        assertThat(disk.files).hasSize(1);
+    }
+
+    @Test
+    void whatIsTooLargeIsKeptWithoutPinsAndSaysSo() throws Exception {
+        Keeper keeper = Keeper.open(disk, new DurableSheet(dir, SECOND, DAY, 2_000, SECOND), "r", new ArrayList<>());
         keeper.read(NOW, new ArrayList<>());
         Hand hand = new Hand();
         hand.take(Pictures.list(1, true, "a", "b"));
--- a/relay/src/test/java/ambertrestle/relay/durable/Pictures.java
+++ b/relay/src/test/java/ambertrestle/relay/durable/Pictures.java
@@ -26,7 +26,7 @@
     }
 
     static Judged judged(String backend, long at) {
-        return new Judged(RosterMessage.id(backend), 0, at, 1, 8, 4, 30, at, 40_000_000, at, 0);
+        return new Judged(RosterMessage.id(backend), 0, at, 1, 8, 4, 40_000_000, at, 0);
     }
 
     /** Of relay r, kept and heard at that time; `mark` tells one from another. */
--- a/relay/src/test/java/ambertrestle/relay/durable/RecoveryTest.java
+++ b/relay/src/test/java/ambertrestle/relay/durable/RecoveryTest.java
@@ -5,7 +5,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import ambertrestle.decide.Kept;
-import ambertrestle.relay.durable.Keeper.Said;
 import ambertrestle.relay.durable.Recovery.Beginning;
 import ambertrestle.relay.durable.Recovery.From;
 import ambertrestle.relay.wire.RosterMessage;
@@ -63,14 +62,14 @@
 
     @Test
     void changesAfterAnOldListGiveTheWholeListAsItNowIs() {
-        RosterMessage now = Recovery.merged(Pictures.list(40, true, "a", "b", "c"), Pictures.list(44, false, "b=GONE", "c=DRAINING", "d"));
+        RosterMessage now = Pictures.list(40, true, "a", "b", "c").after(Pictures.list(44, false, "b=GONE", "c=DRAINING", "d"));
         assertThat(now).isEqualTo(Pictures.list(44, true, "a", "c=DRAINING", "d"));
     }
 
     @Test
     void aRosterServiceThatAnswersOneLineAndDiesAgainIsNotTakenForOneThatIsBack() {
         Start start = new Start(begin(NONE, Pictures.at(NOW - 60 * SECOND, 1)), NOW);
-        assertThat(start.begun().line()).isEqualTo("begins with the kept list of 3 backends, heard 60.0 s ago; until the roster service is heard "
+        assertThat(start.woke(NOW).line()).isEqualTo("begins with the kept list of 3 backends, heard 60.0 s ago; until the roster service is heard "
                 + "all count as cold");
         start.broke();
         assertThat(start.woke(NOW + SECOND)).isNull();
--- a/relay/src/test/java/ambertrestle/relay/durable/StateFileTest.java
+++ b/relay/src/test/java/ambertrestle/relay/durable/StateFileTest.java
@@ -27,8 +27,8 @@
     Arbitrary<Picture> pictures() {
         Arbitrary<RosterMessage.Line> line = Combinators.combine(NAME, NAME, Arbitraries.of(Stage.READY, Stage.DRAINING), NAME, NAME,
                 Arbitraries.integers(), AMOUNT, ANY).as(RosterMessage.Line::new);
-        Arbitrary<Judged> judged = Combinators.combine(ANY, ANY, AMOUNT, AMOUNT, AMOUNT, AMOUNT, ANY, ANY).as((id, at, good, bad, slow, carries,
-                late, delay) -> new Judged(id, late, at, good, bad, slow, carries, late, delay, at, late));
+        Arbitrary<Judged> judged = Combinators.combine(ANY, ANY, AMOUNT, AMOUNT, AMOUNT, ANY, ANY).as((id, at, good, bad, slow,
+                heard, delay) -> new Judged(id, heard, at, good, bad, slow, delay, at, heard));
         Arbitrary<Pin> pin = Combinators.combine(ANY, ANY, ANY).as(Pin::new);
         Arbitrary<Whole> whole = Combinators.combine(AMOUNT, ANY, AMOUNT, AMOUNT, Arbitraries.integers(), ANY).as(Whole::new);
         Arbitrary<Kept> kept = Combinators.combine(ANY, whole, judged.list().ofMaxSize(8), pin.list().ofMaxSize(20))
