Spread the first roster calls of relays that start together over a time

Lines at fault: Balancer's constructor (watchAt = now) and Reducer.settle, which asked at once whatever the module said.

Change: the first call comes at a drawn time within the span over which calls after a failure are spread already (50 ms a relay). Where changes come by themselves the watch is still asked for at once.

Taken back before it landed: the same spread for a watch that a new configuration moves. Nothing fails there, and a relay would hear up to 4.7 s after SIGHUP of what counts as told after 4 s.

Tests: 100 relays make under 35 calls in any second (100 in the first one without the change); the next call within askWithin.

--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -56,7 +56,7 @@
     private final UseCase[] useCases;
     private final int mostDispatches, relays;
     private final boolean secondCopies, weighted, tellsDelay, unseen;
-    private final long drainGrace, coldFor, fallFor, comeBack;
+    private final long drainGrace, askWithin, coldFor, fallFor, comeBack;
     private final double coldFrom, fallMultiple, quota;
     /** The shortest time in which a message is wanted, and the longest that a client waits. */
     private long shortestGoal = Long.MAX_VALUE / 4, patience;
@@ -109,7 +109,7 @@
         weighted = List.of("nominal", "rough").contains(
                 JobTicket.word(jobTicket, "weights", "nominal", "rough", "none", "live"));
         boolean pushed = JobTicket.word(jobTicket, "discovery", "pushed", "on_request").equals("pushed");
-        watchAt = pushed ? Long.MAX_VALUE : now;
+        askWithin = (long) JobTicket.numberOr(jobTicket, "rules.askWithin", 16.0 * SECOND);
         boolean tells = Boolean.parseBoolean(jobTicket.get("limits.retryAfter"));
         comeBack = tells ? (long) JobTicket.number(jobTicket, "limits.maxRetryAfter") : 0;
         for (double goal : JobTicket.numbers(jobTicket, "familyInfo.messageAim")) {
@@ -120,6 +120,8 @@
         bornAt = now;
         endedAt = now;
         purgeAt = now + ENTRY_AGE;
+        // Danger: relays that start together ask together, and the service fails the calls that waited too long.
+        watchAt = pushed ? Long.MAX_VALUE : now + chance.nextLong(turn(0));
     }
 
     // ---- the three questions
@@ -221,10 +223,15 @@
     public void rosterFailed(long now) {
         note("roster call failed, asking again", now);
         // Danger: relays that ask again in step keep the roster service full and all of them fail again.
-        long base = Math.min(8 * SECOND, relays * 50 * MS << Math.min(watchFailures++, 4));
+        long base = turn(Math.min(watchFailures++, 4));
         watchAt = now + base / 2 + chance.nextLong(base);
     }
 
+    /** The time over which all relays' calls are spread, half at most of that after which a relay counts as told. */
+    private long turn(int doubled) {
+        return Math.max(1, Math.min(Math.min(8 * SECOND, askWithin / 2), relays * 50 * MS << doubled));
+    }
+
     /** An open connection that was passing through when this relay started. */
     @Override
     public void takenOver(Association a, long backend, long now) {
--- a/core/src/main/java/ambertrestle/decide/JobTicket.java
+++ b/core/src/main/java/ambertrestle/decide/JobTicket.java
@@ -15,6 +15,10 @@
         }
     }
 
+    static double numberOr(Map<String, String> jobTicket, String name, double otherwise) {
+        return jobTicket.containsKey(name) ? number(jobTicket, name) : otherwise;
+    }
+
     static String word(Map<String, String> jobTicket, String name, String... known) {
         String value = jobTicket.get(name);
         if (value == null || known.length > 0 && !java.util.Arrays.asList(known).contains(value)) {
--- a/core/src/test/java/ambertrestle/TroubleTest.java
+++ b/core/src/test/java/ambertrestle/TroubleTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import ambertrestle.decide.Association;
+import ambertrestle.decide.Balancer;
 import ambertrestle.decide.Answer.Kind;
 import ambertrestle.decide.Outcome;
 import org.junit.jupiter.api.Test;
@@ -190,6 +191,34 @@
         s.matches("roster");
     }
 
+    /** Found at 93 relays: 58 first calls of one moment waited too long in the roster service and failed together. */
+    @Test
+    void relaysThatStartTogetherAskTheRosterServiceAtTimesOfTheirOwn() {
+        s.ticket.put("discovery", "on_request");
+        s.ticket.put("relays", "100");
+        int[] calls = new int[10];
+        for (int seed = 0; seed < 100; seed++) {
+            Balancer relay = new Balancer(s.ticket, seed, s.now);
+            calls[(int) ((relay.howLong(s.now).wakeAt - s.now) / (1000 * Scene.MS))]++;
+        }
+        assertThat(java.util.Arrays.stream(calls).max().getAsInt()).isLessThan(35);
+        assertThat(java.util.Arrays.stream(calls).limit(5).sum()).as("within the five seconds that they share").isEqualTo(100);
+    }
+
+    @Test
+    void theNextRosterCallComesBeforeSilenceCountsAsTold() {
+        s.ticket.put("discovery", "on_request");
+        s.ticket.put("relays", "200");
+        s.ticket.put("rules.askWithin", "5000000000");
+        for (int seed = 0; seed < 50; seed++) {
+            Balancer relay = new Balancer(s.ticket, seed, s.now);
+            for (int failures = 0; failures < 6; failures++) {
+                assertThat(relay.howLong(s.now).wakeAt - s.now).isLessThan(5_000 * Scene.MS);
+                relay.rosterFailed(s.now);
+            }
+        }
+    }
+
     /** With no delay seen, one that breaks connections over and over is late; breaks at one moment are not. */
     @Test
     void shedding() throws Exception {
--- a/relay/src/main/java/ambertrestle/relay/memory/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/memory/Reducer.java
@@ -568,7 +568,7 @@
         Chores chores = balancer.howLong(now);
         // Danger: where the settings say that changes come by themselves, the module never asks; on sockets none come.
         // Danger: a watch moved meanwhile must not be torn down by the retry that the one before had coming.
-        if (!watching && (chores.rosterCall != Chores.RosterCall.NONE || !watched)) {
+        if (!watching && (chores.rosterCall != Chores.RosterCall.NONE || !watched && values.changesCome())) {
             watch();
         }
         for (Association a : chores.moves) {
