Let what a relay cannot see of groups count, and an unlisted backend serve on until it fails

Ruled out: capacity (a fifth in use), the relays' own delay (16 ms to the first attempt), late lists, lateness told too late (no relay logged any). At fault: Balancer.part, `(pairs + 0.25)`: with four connections a relay has seen no pair, reckons with 68 groups and lays each on one backend. Change: what a relay cannot see counts as four pairs, less the fewer relays there are, not while over a third are late.

A drain still ends with the grace, and a backend gone after it stays gone.

--- a/core/src/main/java/ambertrestle/decide/Backend.java
+++ b/core/src/main/java/ambertrestle/decide/Backend.java
@@ -11,6 +11,9 @@
     int cell;
     int zone;
     double weight = 1;
+    /** Called gone by a list that does not bind, and how many set-ups in a row failed there since. */
+    boolean unlisted;
+    int missed;
     /** When this relay heard that it drains or is gone. */
     long heardAt;
     final ArrayList<Association> open = new ArrayList<>();
--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -34,6 +34,10 @@
     /** Prime; turns keep it even to one slot: four times as many changed nothing at 138 backends. */
     private static final int TABLE = 4093;
     private static final int MOST_ENTRIES = 1 << 16;
+    /** Set-ups in a row that an unlisted backend may fail before it counts as gone. */
+    private static final int MOST_MISSED = 2;
+    /** Pairs of one group that a relay takes for granted where others hold nearly all connections. */
+    private static final int UNSEEN_PAIRS = 4;
     private static final long ENTRY_AGE = 60 * SECOND;
     /** Evidence about a backend halves in this time. */
     private static final long HALF_LIFE = 4 * SECOND;
@@ -55,7 +59,7 @@
 
     private final UseCase[] useCases;
     private final int mostDispatches, relays;
-    private final boolean secondCopies, weighted, tellsDelay, unseen;
+    private final boolean secondCopies, weighted, tellsDelay, unseen, onlyDrainingBinds;
     private final long drainGrace, askWithin, coldFor, fallFor, comeBack;
     private final double coldFrom, fallMultiple, quota;
     /** The shortest time in which a message is wanted, and the longest that a client waits. */
@@ -102,6 +106,7 @@
         // Where the relay's wire shows no delay; that a backend breaks connections then stands for it.
         unseen = "unseen".equals(jobTicket.get("familyInfo.tellsDelay"));
         drainGrace = (long) JobTicket.number(jobTicket, "rules.drainGrace");
+        onlyDrainingBinds = JobTicket.flag(jobTicket, "rules.onlyDrainingBinds");
         coldFrom = JobTicket.number(jobTicket, "rules.coldFrom");
         coldFor = (long) JobTicket.number(jobTicket, "rules.cold");
         fallMultiple = JobTicket.number(jobTicket, "rules.fallMultiple");
@@ -120,7 +125,7 @@
         bornAt = now;
         endedAt = now;
         purgeAt = now + ENTRY_AGE;
-        // Danger: relays that start together ask together, and the service fails the calls that waited too long.
+        // Danger: relays that start together ask together, and the service fails calls that waited too long.
         watchAt = pushed ? Long.MAX_VALUE : now + chance.nextLong(turn(0));
     }
 
@@ -212,13 +217,17 @@
             }
         }
         if (changed) {
-            members = backends.values().stream().filter(b -> b.stage != Stage.GONE).toArray(Backend[]::new);
-            Arrays.sort(members, (x, y) -> Long.compareUnsigned(x.id, y.id));
-            fillTable();
+            gather();
         }
         sum(now);
     }
 
+    private void gather() {
+        members = backends.values().stream().filter(b -> b.stage != Stage.GONE).toArray(Backend[]::new);
+        Arrays.sort(members, (x, y) -> Long.compareUnsigned(x.id, y.id));
+        fillTable();
+    }
+
     @Override
     public void rosterFailed(long now) {
         note("roster call failed, asking again", now);
@@ -227,7 +236,7 @@
         watchAt = now + base / 2 + chance.nextLong(base);
     }
 
-    /** The time over which all relays' calls are spread, half at most of that after which a relay counts as told. */
+    /** All relays' calls are spread over this, half at most of the time after which silent ones count as told. */
     private long turn(int doubled) {
         return Math.max(1, Math.min(Math.min(8 * SECOND, askWithin / 2), relays * 50 * MS << doubled));
     }
@@ -296,6 +305,7 @@
         }
         Backend b = backends.get(a.sentTo[dispatch]).age(now, HALF_LIFE);
         b.good++;
+        b.missed = 0;
         ledger.changed(b);
         tried.add(b);
         jammed = jammed && jammed(now);
@@ -379,7 +389,7 @@
         double lateShare = lates.size() / Math.max(Math.min(warm, occupied + untold + 2), 1);
         Entry entry = tracking.get(a.key());
         // Danger: every backend that holds any of a group pays for it; one strewn over all sinks them all.
-        double part = a.group == 0 ? members.length : part(entry);
+        double part = a.group == 0 ? members.length : part(entry, lateShare);
         int depth = lateShare * 3 > 1 ? 1 + (int) part : 2 + (int) Math.round(part);
         int holding = 0;
         int holds = ++mark;
@@ -426,9 +436,14 @@
     }
 
     /** Backends that the group would fill; if blind, one more is seen a group, which pairs of one count. */
-    private double part(Entry entry) {
+    private double part(Entry entry, double lateShare) {
         int seen = entry == null ? 0 : entry.open.size();
-        double groups = (held * (held + 1.0) / 2 + warm / 4) / (pairs + 0.25);
+        // Danger: one of hundreds of relays holds a few, has seen no pair, and would take each group for a small
+        // one; all of them would pile it on one backend. What it cannot see counts as some pairs, unless many are
+        // late: there each further backend that holds a group costs more than its evenness gains.
+        double apart = lateShare * 3 > 1 ? 0 : 1 - 1.0 / relays;
+        double all = held * (held + 1.0) / 2 + warm * (0.25 + apart);
+        double groups = all / (pairs + 0.25 + UNSEEN_PAIRS * apart);
         return blind() ? warm * (1 + seen) / (held + groups) : warm * seen / held;
     }
 
@@ -551,6 +566,13 @@
 
     private void judge(Backend b, Outcome outcome, boolean wasEstablished, long now) {
         b.age(now, HALF_LIFE);
+        // Danger: what is unlisted and really gone would fail a dispatch again and again.
+        boolean fails = outcome == Outcome.NOT_CONNECTED || outcome == Outcome.TIMED_OUT;
+        if (b.unlisted && fails && !wasEstablished && ++b.missed >= MOST_MISSED) {
+            list(b, new Listed(b.id, Stage.GONE, 0, b.cell, b.weight, b.zone, 0), now);
+            gather();
+            sum(now);
+        }
         switch (outcome) {
             case FULL -> b.fullUntil = now + SECOND / 2;
             case NOT_CONNECTED -> b.bad++;
@@ -719,6 +741,16 @@
     }
 
     private boolean list(Backend b, Listed line, long now) {
+        // Danger: a list that calls running backends gone would leave few or none; it alone does not count here.
+        boolean doubted = onlyDrainingBinds && b.stage == Stage.READY && line.stage() == Stage.GONE;
+        if (doubted && !b.unlisted) {
+            b.unlisted = true;
+            b.missed = 0;
+            return false;
+        } else if (doubted && b.missed < MOST_MISSED) {
+            return false;
+        }
+        b.unlisted = false;
         double weight = weighted && line.weight() > 0 ? line.weight() : 1;
         boolean changed = b.weight != weight || (b.stage == Stage.GONE) != (line.stage() == Stage.GONE);
         if (line.stage() != Stage.READY && (b.stage == Stage.READY || b.heardAt == 0)) {
--- a/core/src/main/java/ambertrestle/decide/JobTicket.java
+++ b/core/src/main/java/ambertrestle/decide/JobTicket.java
@@ -15,6 +15,11 @@
         }
     }
 
+    /** False where it is not there. */
+    static boolean flag(Map<String, String> jobTicket, String name) {
+        return jobTicket.containsKey(name) && word(jobTicket, name, "true", "false").equals("true");
+    }
+
     static double numberOr(Map<String, String> jobTicket, String name, double otherwise) {
         return jobTicket.containsKey(name) ? number(jobTicket, name) : otherwise;
     }
--- a/core/src/test/java/ambertrestle/RulesTest.java
+++ b/core/src/test/java/ambertrestle/RulesTest.java
@@ -66,4 +66,42 @@
         s.say("in 3 s of storm: cold " + storm[3] + ", warm " + (storm[1] + storm[2]));
         s.matches("cold");
     }
+
+    /** Found on kingston-captions: a list that called running backends gone emptied the fleet. */
+    @Test
+    void whereOnlyDrainingBindsAListThatCallsRunningBackendsGoneEmptiesNoFleet() throws Exception {
+        s.ticket.put("rules.onlyDrainingBinds", "true");
+        s.roster("1 2 3");
+        s.at(1000).roster("1=gone 2=gone 3=gone");
+        assertThat(s.at(9000).ask("kept", 5).kind).isEqualTo(Kind.SEND);
+        long first = s.held.get("kept").sentTo[0];
+        s.after("kept", Outcome.NOT_CONNECTED, false);
+        s.ask("again", 5);
+        s.balancer().after(s.held.get("again"), 0, Outcome.FULL, true, s.now);
+        for (int i = 0; i < 40; i++) {
+            // A second failed set-up shows that the list was right about it; its doubt has faded by then.
+            s.at(30_000 + i).ask("later" + i, 5);
+            s.after("later" + i, s.held.get("later" + i).sentTo[0] == first ? Outcome.NOT_CONNECTED : Outcome.DONE, true);
+        }
+        assertThat(s.held.entrySet().stream().filter(e -> e.getKey().startsWith("later")
+                && e.getValue().sentTo[0] == first).count()).isEqualTo(1);
+        assertThat(s.at(31_000).roster("1 2 3").ask("listed again", 5).kind).isEqualTo(Kind.SEND);
+    }
+
+    @Test
+    void whereOnlyDrainingBindsADrainStillEndsWithTheGraceThoughItIsLeftOutLater() {
+        s.ticket.put("rules.onlyDrainingBinds", "true");
+        s.ticket.put("rules.drainGrace", "50000000");
+        s.roster("1");
+        s.at(1000).roster("1=draining");
+        s.at(1010).roster("1=gone");
+        assertThat(s.at(1060).ask("late", 5).kind).isNotEqualTo(Kind.SEND);
+    }
+
+    @Test
+    void aFlagThatIsNeitherTrueNorFalseIsNamed() {
+        s.ticket.put("rules.onlyDrainingBinds", "perhaps");
+        org.assertj.core.api.Assertions.assertThatThrownBy(s::balancer)
+                .hasMessage("job ticket: rules.onlyDrainingBinds is not known: perhaps");
+    }
 }
--- a/core/src/test/java/ambertrestle/TroubleTest.java
+++ b/core/src/test/java/ambertrestle/TroubleTest.java
@@ -5,7 +5,13 @@
 import ambertrestle.decide.Association;
 import ambertrestle.decide.Balancer;
 import ambertrestle.decide.Answer.Kind;
+import ambertrestle.decide.Listed;
 import ambertrestle.decide.Outcome;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
 class TroubleTest {
@@ -219,6 +225,36 @@
         }
     }
 
+    /** Found on the fleet's calm day: 94 relays of three connections each took every group for a small one. */
+    @Test
+    void relaysThatHoldAFewConnectionsEachDoNotPileAGroupOnOneBackend() {
+        s.ticket.put("relays", "94");
+        List<Listed> list = new ArrayList<>();
+        for (int id = 1; id <= 28; id++) {
+            list.add(new Listed(id, Listed.Stage.READY, 0, 0, 1, 0, 0));
+        }
+        Balancer[] relays = new Balancer[94];
+        for (int r = 0; r < relays.length; r++) {
+            relays[r] = new Balancer(s.ticket, r, s.now);
+            relays[r].roster(list, true, false, s.now);
+        }
+        int[] held = new int[29];
+        Set<Long> homes = new HashSet<>();
+        SplittableRandom deal = new SplittableRandom(5);
+        for (int i = 1; i <= 420; i++) {
+            // 28 groups, the largest of some forty connections.
+            long group = 1 + (long) (28 * Math.pow(deal.nextDouble(), 1.5));
+            Balancer relay = relays[deal.nextInt(94)];
+            Association a = new Association(i, 0, 0, 5000 + i, group, s.now + 2000 * Scene.MS, 0, false, false);
+            int on = (int) relay.where(a, s.now).backend;
+            relay.established(a, 0, 10 * Scene.MS, s.now);
+            held[on]++;
+            homes.add(group * 100 + on);
+        }
+        assertThat(java.util.Arrays.stream(held).max().getAsInt()).as("the busiest, of 15 on the mean").isLessThan(38);
+        assertThat(homes.size()).as("backends that hold one of the 28 groups").isLessThan(28 * 7);
+    }
+
     /** With no delay seen, one that breaks connections over and over is late; breaks at one moment are not. */
     @Test
     void shedding() throws Exception {
--- a/relay/src/test/java/ambertrestle/cli/CliTest.java
+++ b/relay/src/test/java/ambertrestle/cli/CliTest.java
@@ -90,6 +90,14 @@
         Path config = file("config.json", Files.readString(REHEARSAL).replace("\"drainGraceUs\": 1000000, ", ""));
         assertThat(run("check", "--config", config.toString())).isEqualTo(1);
         assertThat(err.toString()).contains("rules.drainGrace is missing");
+        Path flag = file("flag.json", Files.readString(REHEARSAL)
+                .replace("\"drainGraceUs\"", "\"onlyDrainingBinds\": \"perhaps\", \"drainGraceUs\""));
+        assertThat(run("check", "--config", flag.toString())).isEqualTo(1);
+        assertThat(err.toString()).contains("rules.onlyDrainingBinds is not known: perhaps");
+        Path silent = file("silent.json", Files.readString(REHEARSAL)
+                .replace("\"drainGraceUs\"", "\"askWithinUs\": \"soon\", \"drainGraceUs\""));
+        assertThat(run("check", "--config", silent.toString())).isEqualTo(1);
+        assertThat(err.toString()).contains("rules.askWithin is not a number: soon");
     }
 
     @Test
