--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -36,6 +36,8 @@
     private static final int MOST_ENTRIES = 1 << 16;
     /** Set-ups in a row that an unlisted backend may fail before it counts as gone. */
     private static final int MOST_MISSED = 2;
+    /** A relay sees one pair in as many as the square of the number of relays; of a few it misses little. */
+    private static final int SIGHTED = 16 * 16;
     /** Pairs of one group that a relay takes for granted where others hold nearly all connections. */
     private static final int UNSEEN_PAIRS = 4;
     private static final long ENTRY_AGE = 60 * SECOND;
@@ -126,7 +128,7 @@
         endedAt = now;
         purgeAt = now + ENTRY_AGE;
         // Danger: relays that start together ask together, and the service fails calls that waited too long.
-        watchAt = pushed ? Long.MAX_VALUE : now + chance.nextLong(turn(0));
+        watchAt = pushed ? Long.MAX_VALUE : now + new SplittableRandom(seed + 1).nextLong(turn(0));
     }
 
     // ---- the three questions
@@ -441,7 +443,7 @@
         // Danger: one of hundreds of relays holds a few, has seen no pair, and would take each group for a small
         // one; all of them would pile it on one backend. What it cannot see counts as some pairs, unless many are
         // late: there each further backend that holds a group costs more than its evenness gains.
-        double apart = lateShare * 3 > 1 ? 0 : 1 - 1.0 / relays;
+        double apart = lateShare * 3 > 1 ? 0 : (double) relays * relays / (relays * relays + SIGHTED);
         double all = held * (held + 1.0) / 2 + warm * (0.25 + apart);
         double groups = all / (pairs + 0.25 + UNSEEN_PAIRS * apart);
         return blind() ? warm * (1 + seen) / (held + groups) : warm * seen / held;
