Draw parts of the cold budget that are too small, so that a fleet's sum of them is sent

At fault: Balancer.mayReach. A relay's part of a fresh backend's budget rests on connections that ended with it: of some 0.1 a second, so 0.002 dispatches a second. It starts at 0 and sends at 1, which takes minutes; a backend is cold for 12 to 22 s. Every relay alone keeps its budget, all together send nothing, and the crowd falls on the four in ten that are left. Shown without the bench: 94 relays, ten of twenty backends fresh: 0 dispatches to them in 10 s of cold, 22 now. Change: where relays are many and the part would not come to one dispatch while the backend is cold, the budget starts at a drawn share of one, as it does behind an old list. The sum over the relays is then the sum of their parts, never more in the mean. Ruled out: late lists (told within seconds, the fresh ones were listed), sheds (1 seen in the first 8 s).

--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -635,8 +635,10 @@
         if (warmth(b, now) < 1) {
             double rate = coldRate(b, now);
             if (b.allowanceAt < startOf(b)) {
-                // Danger: relays that begin at one moment would all send the first at one moment too.
-                b.allowance = unseenAt > 0 ? chance.nextDouble() : 0;
+                // Danger: relays that begin at one moment would all send the first at one moment too. And parts too
+                // small to come to one dispatch while it is cold would leave a fleet's fresh backends with nothing.
+                boolean small = relays * relays > SIGHTED && rate * coldFor < 1;
+                b.allowance = unseenAt > 0 || small ? chance.nextDouble() : 0;
                 b.allowanceAt = Math.max(startOf(b), now - fallFor);
             }
             b.allowance = Math.min(Math.max(1, rate * fallFor),
