Count unseen pairs only where delay is told; take the drawn cold budget back

Cause: what is left of the fleet holds every group on more backends and pays for each. In the simulator the word on lateness stops that (over a third late: nothing unseen counts); on sockets no delay is seen, so nothing does. Change: unseen pairs do not count where delay is unseen. The cause it answers stays true and is written up.

--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -442,8 +442,9 @@
         int seen = entry == null ? 0 : entry.open.size();
         // Danger: one of hundreds of relays holds a few, has seen no pair, and would take each group for a small
         // one; all of them would pile it on one backend. What it cannot see counts as some pairs, unless many are
-        // late: there each further backend that holds a group costs more than its evenness gains.
-        double apart = lateShare * 3 > 1 ? 0 : (double) relays * relays / (relays * relays + SIGHTED);
+        // late: there each further backend that holds a group costs more than its evenness gains. Where no delay
+        // is seen nothing tells that it is too much, and a fleet short of warm backends would sink.
+        double apart = unseen || lateShare * 3 > 1 ? 0 : (double) relays * relays / (relays * relays + SIGHTED);
         double all = held * (held + 1.0) / 2 + warm * (0.25 + apart);
         double groups = all / (pairs + 0.25 + UNSEEN_PAIRS * apart);
         return blind() ? warm * (1 + seen) / (held + groups) : warm * seen / held;
@@ -635,10 +636,8 @@
         if (warmth(b, now) < 1) {
             double rate = coldRate(b, now);
             if (b.allowanceAt < startOf(b)) {
-                // Danger: relays that begin at one moment would all send the first at one moment too. And parts too
-                // small to come to one dispatch while it is cold would leave a fleet's fresh backends with nothing.
-                boolean small = relays * relays > SIGHTED && rate * coldFor < 1;
-                b.allowance = unseenAt > 0 || small ? chance.nextDouble() : 0;
+                // Danger: relays that begin at one moment would all send the first at one moment too.
+                b.allowance = unseenAt > 0 ? chance.nextDouble() : 0;
                 b.allowanceAt = Math.max(startOf(b), now - fallFor);
             }
             b.allowance = Math.min(Math.max(1, rate * fallFor),
