--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -238,7 +238,7 @@
         watchAt = now + base / 2 + chance.nextLong(base);
     }
 
-    /** All relays' calls are spread over this, half at most of the time after which silent ones count as told. */
+    /** Calls of all relays spread over this, at most half of the time after which silent ones count as told. */
     private long turn(int doubled) {
         return Math.max(1, Math.min(Math.min(8 * SECOND, askWithin / 2), relays * 50 * MS << doubled));
     }
@@ -440,11 +440,12 @@
     /** Backends that the group would fill; if blind, one more is seen a group, which pairs of one count. */
     private double part(Entry entry, double lateShare) {
         int seen = entry == null ? 0 : entry.open.size();
-        // Danger: one of hundreds of relays holds a few, has seen no pair, and would take each group for a small
-        // one; all of them would pile it on one backend. What it cannot see counts as some pairs, unless many are
-        // late: there each further backend that holds a group costs more than its evenness gains. Where no delay
-        // is seen nothing tells that it is too much, and a fleet short of warm backends would sink.
-        double apart = unseen || lateShare * 3 > 1 ? 0 : (double) relays * relays / (relays * relays + SIGHTED);
+        // Danger: one of hundreds of relays holds a few, has seen no pair, and would take each group for a
+        // small one; all of them would pile it on one backend. What it cannot see counts as some pairs, unless
+        // many are late: there each further backend that holds a group costs more than its evenness gains.
+        // Where no delay is seen nothing tells that it is too much, and a fleet short of warm backends sinks.
+        double apart = unseen || lateShare * 3 > 1 ? 0
+                : (double) relays * relays / (relays * relays + SIGHTED);
         double all = held * (held + 1.0) / 2 + warm * (0.25 + apart);
         double groups = all / (pairs + 0.25 + UNSEEN_PAIRS * apart);
         return blind() ? warm * (1 + seen) / (held + groups) : warm * seen / held;
@@ -744,7 +745,7 @@
     }
 
     private boolean list(Backend b, Listed line, long now) {
-        // Danger: a list that calls running backends gone would leave few or none; it alone does not count here.
+        // Danger: a list that calls running backends gone would leave few or none; it alone does not count.
         boolean doubted = onlyDrainingBinds && b.stage == Stage.READY && line.stage() == Stage.GONE;
         if (doubted && !b.unlisted) {
             b.unlisted = true;
