--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -238,7 +238,7 @@
         watchAt = now + base / 2 + chance.nextLong(base);
     }
 
-    /** Calls of all relays spread over this, at most half of the time after which silent ones count as told. */
+    /** Calls of all relays spread over this, half at most of the time after which silence counts as told. */
     private long turn(int doubled) {
         return Math.max(1, Math.min(Math.min(8 * SECOND, askWithin / 2), relays * 50 * MS << doubled));
     }
@@ -441,7 +441,7 @@
     private double part(Entry entry, double lateShare) {
         int seen = entry == null ? 0 : entry.open.size();
         // Danger: one of hundreds of relays holds a few, has seen no pair, and would take each group for a
-        // small one; all of them would pile it on one backend. What it cannot see counts as some pairs, unless
+        // small one; all would pile it on one backend. What it cannot see counts as some pairs, unless
         // many are late: there each further backend that holds a group costs more than its evenness gains.
         // Where no delay is seen nothing tells that it is too much, and a fleet short of warm backends sinks.
         double apart = unseen || lateShare * 3 > 1 ? 0
