Do not give unlisted backends up for time-outs while set-ups fail all over

Need: found on reading the change again. Where only draining binds and the list calls all backends gone, two time-outs gave each of them up until it was listed again; a shared store that slows times set-ups out everywhere, so none would be left. At fault: Balancer.judge, which counted TIMED_OUT though the doubt beside it leaves such time-outs out while set-ups jam. Change: a time-out does not count while over half of the backends tried fail set-ups. Balancer.list kept one state in two places (unlisted and the reset of missed); it is one condition now.

--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -570,8 +570,9 @@
 
     private void judge(Backend b, Outcome outcome, boolean wasEstablished, long now) {
         b.age(now, HALF_LIFE);
-        // Danger: what is unlisted and really gone would fail a dispatch again and again.
-        boolean fails = outcome == Outcome.NOT_CONNECTED || outcome == Outcome.TIMED_OUT;
+        // Danger: what is unlisted and really gone would fail a dispatch again and again; but a shared store
+        // that slows times set-ups out on all that are unlisted, and none would be left.
+        boolean fails = outcome == Outcome.NOT_CONNECTED || outcome == Outcome.TIMED_OUT && !jammed;
         if (b.unlisted && fails && !wasEstablished && ++b.missed >= MOST_MISSED) {
             list(b, new Listed(b.id, Stage.GONE, 0, b.cell, b.weight, b.zone, 0), now);
             gather();
@@ -746,15 +747,13 @@
 
     private boolean list(Backend b, Listed line, long now) {
         // Danger: a list that calls running backends gone would leave few or none; it alone does not count.
-        boolean doubted = onlyDrainingBinds && b.stage == Stage.READY && line.stage() == Stage.GONE;
-        if (doubted && !b.unlisted) {
+        boolean calledGone = b.stage == Stage.READY && line.stage() == Stage.GONE;
+        if (onlyDrainingBinds && calledGone && b.missed < MOST_MISSED) {
             b.unlisted = true;
-            b.missed = 0;
-            return false;
-        } else if (doubted && b.missed < MOST_MISSED) {
             return false;
         }
         b.unlisted = false;
+        b.missed = 0;
         double weight = weighted && line.weight() > 0 ? line.weight() : 1;
         boolean changed = b.weight != weight || (b.stage == Stage.GONE) != (line.stage() == Stage.GONE);
         if (line.stage() != Stage.READY && (b.stage == Stage.READY || b.heardAt == 0)) {
--- a/core/src/test/java/ambertrestle/RulesTest.java
+++ b/core/src/test/java/ambertrestle/RulesTest.java
@@ -88,6 +88,20 @@
         assertThat(s.at(31_000).roster("1 2 3").ask("listed again", 5).kind).isEqualTo(Kind.SEND);
     }
 
+    /** A store that slows times set-ups out everywhere while the list calls all gone: none may be given up for it. */
+    @Test
+    void timeOutsAllOverDoNotProveAListThatCallsAllGone() {
+        s.ticket.put("rules.onlyDrainingBinds", "true");
+        s.roster("1 2 3 4 5 6");
+        s.roster("1=gone 2=gone 3=gone 4=gone 5=gone 6=gone");
+        for (int i = 0; i < 200; i++) {
+            if (s.at(i * 500).ask("slow" + i, 100 + i).kind == Kind.SEND) {
+                s.after("slow" + i, Outcome.TIMED_OUT, true);
+            }
+        }
+        assertThat(s.at(160_000).ask("later", 5).kind).isEqualTo(Kind.SEND);
+    }
+
     @Test
     void whereOnlyDrainingBindsADrainStillEndsWithTheGraceThoughItIsLeftOutLater() {
         s.ticket.put("rules.onlyDrainingBinds", "true");
