Stop reading a held-back side at its channel, so its end follows its last line

Cause: LineSocket held a side back with NetSocket.pause while the other side's write queue was full. The channel reads on until the socket's own queue is full, and ChannelInputShutdownEvent is reported at once, ahead of the chunks that wait there. Reducer.onInputShutdown then enters CLOSING, where onBackendMessage ignores the lines that come afterwards.

Evidence: a scratch copy counted the lines that each connection ignored in CLOSING: 1386, 1408, 597, 1193, 47, 368, 368, 297, exactly the pages missing at each client and the MOVE. Ruled out: timeouts (the end came 0.5 s after the document began, the shortest is 3 s), failed or discarded writes (the lines never reached a write), the backend (the same document came whole 16 of 16 times where the connection stayed open). Straight to a backend that closes altogether while the client still sends, 8 of 8 documents are cut as well: that is TCP's reset and no fault of the relay.

Change: the channel itself stops reading (auto-read), so nothing is read ahead of what was delivered, and the end of the stream stays behind the last line. This covers the other direction too, a client that ends its sending while the backend reads slowly.

--- a/relay/src/main/java/ambertrestle/relay/wire/LineSocket.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/LineSocket.java
@@ -64,17 +64,11 @@
             }
         });
         socket.exceptionHandler(e -> isReset = true);
-        socket.drainHandler(v -> {
-            if (linkedSocket != null) {
-                linkedSocket.socket.resume();
-            }
-        });
+        socket.drainHandler(v -> setLinkedSocketReading(true));
         socket.closeHandler(v -> {
             // Without this, a linked socket that is paused would never be read again once this socket is closed, and
             // its own close would go undetected.
-            if (linkedSocket != null) {
-                linkedSocket.socket.resume();
-            }
+            setLinkedSocketReading(true);
             listener.onClosed(isReset);
         });
     }
@@ -84,11 +78,22 @@
         linkedSocket = other;
     }
 
+    /**
+     * Starts or stops reading from the linked socket, if there is one. The channel itself stops reading:
+     * {@link NetSocket#pause} would hold back what was read, but not the end of the stream, which would be reported
+     * ahead of the lines before it.
+     */
+    private void setLinkedSocketReading(boolean isReading) {
+        if (linkedSocket != null) {
+            linkedSocket.channel.config().setAutoRead(isReading);
+        }
+    }
+
     /** Writes a line, which must include its CRLF. */
     Future<Void> write(byte[] line) {
         lastWrite = socket.write(Buffer.buffer(line));
-        if (linkedSocket != null && socket.writeQueueFull()) {
-            linkedSocket.socket.pause();
+        if (socket.writeQueueFull()) {
+            setLinkedSocketReading(false);
         }
         return lastWrite;
     }
--- a/relay/src/test/java/ambertrestle/relay/wire/SocketManagerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/wire/SocketManagerTest.java
@@ -21,6 +21,12 @@
 
 /** {@link SocketManager} and {@link RosterWatcher} on loopback, against plain sockets that the tests open. */
 class SocketManagerTest {
+    private static final byte[] FILLING_LINE = bytes("x".repeat(3998) + "\r\n");
+    /** 24 MB in all, more than the buffers that Linux grows for the two ends of a connection. */
+    private static final int FILLING_LINES = 6_000;
+    /** Time in which a half-close that is not held back would be reported. */
+    private static final int EARLY_EVENT_MILLIS = 200;
+
     private final Vertx vertx =
             Vertx.builder().withTransport(new SingleEventLoopTransport()).build();
     private final LinkedBlockingQueue<NetworkEvent> events = new LinkedBlockingQueue<>();
@@ -172,6 +178,76 @@
         }
     }
 
+    /**
+     * The end of a connection must not overtake lines that wait because the other side is not read: a client would get
+     * a document without its last lines, or a backend a request without them.
+     */
+    @Test
+    void halfCloseFollowsLinesHeldByFlowControl() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 5, loopback);
+                Socket client = connectClient();
+                Socket backend = connectBackend(listener)) {
+            fillWriteQueue(1, -1);
+            sendLinesAndHalfClose(backend);
+            drain(client);
+            assertThat(pollEventNames(3)).containsExactly("Load", "Move", "InputShutdown");
+            fillWriteQueue(-1, 1);
+            sendLinesAndHalfClose(client);
+            drain(backend);
+            assertThat(pollEventNames(3)).containsExactly("Payload", "Payload", "InputShutdown");
+        }
+    }
+
+    /** Connects socket -1 to the listener and returns the backend's end, with the first line read. */
+    private Socket connectBackend(ServerSocket listener) throws Exception {
+        execute(new NetworkCommand.Connect(-1, "127.0.0.1:" + listener.getLocalPort(), bytes("OPEN\r\n")));
+        Socket backend = listener.accept();
+        assertThat(backend.getInputStream().readNBytes(6)).isEqualTo(bytes("OPEN\r\n"));
+        assertThat(pollEvent()).isEqualTo(new NetworkEvent.BackendConnected(-1));
+        assertThat(pollEvent()).isEqualTo(new NetworkEvent.FirstLineWritten(-1));
+        return backend;
+    }
+
+    /** Writes more to the first socket than the system takes while its peer doesn't read; links it to the other one. */
+    private void fillWriteQueue(long fullSocket, long linkedSocket) throws Exception {
+        CountDownLatch filled = new CountDownLatch(1);
+        vertx.runOnContext(v -> {
+            sockets.execute(new NetworkCommand.LinkFlowControl(fullSocket, linkedSocket));
+            for (int i = 0; i < FILLING_LINES; i++) {
+                sockets.execute(new NetworkCommand.Write(fullSocket, FILLING_LINE));
+            }
+            filled.countDown();
+        });
+        assertThat(filled.await(10, TimeUnit.SECONDS)).isTrue();
+    }
+
+    /** Sends two lines and ends the sending, then leaves time for an event that is reported too early. */
+    private static void sendLinesAndHalfClose(Socket socket) throws Exception {
+        socket.getOutputStream().write(bytes("LOAD 7.5\r\nMOVE\r\n"));
+        socket.shutdownOutput();
+        Thread.sleep(EARLY_EVENT_MILLIS);
+    }
+
+    /** Reads what {@link #fillWriteQueue} wrote. */
+    private static void drain(Socket socket) throws Exception {
+        for (int i = 0; i < FILLING_LINES; i++) {
+            assertThat(socket.getInputStream().readNBytes(FILLING_LINE.length)).isEqualTo(FILLING_LINE);
+        }
+    }
+
+    /** Returns the type names of the next events; for a received line, that of its message. */
+    private List<String> pollEventNames(int count) throws InterruptedException {
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            NetworkEvent event = pollEvent();
+            Object named = event instanceof NetworkEvent.BackendMessageReceived received
+                    ? received.message()
+                    : event instanceof NetworkEvent.ClientMessageReceived received ? received.message() : event;
+            names.add(named.getClass().getSimpleName());
+        }
+        return names;
+    }
+
     /**
      * A roster service that vanishes doesn't close its connections. Without a timeout, the roster would stay outdated.
      */
