Ignore a framing error of an earlier dispatch's socket, which closed the client

Cause: Reducer.onFramingError looked the socket up in the table of all sockets, where the socket of an earlier dispatch stays until it is closed, and fell through to the branch that takes the client for gone. The decoder reports the line and the framing error in one turn, before the close of the socket can take effect. The other events of a backend's socket compare it with the current one; this was the only one that did not.

Ruled out: time limits and sheds, which send ERR or BUSY; the two other forms of endless answers, whose framing error comes a turn later or ends its own dispatch.

Change: a framing error of a backend's socket counts only while that socket is the current one, which findByBackendSocket already decides for the other events.

--- a/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
@@ -665,10 +665,10 @@
 
     /**
      * Handles input that can't be split into lines. A client that waits for an answer gets ERR; a dispatch fails; an
-     * open connection is closed.
+     * open connection is closed. The socket of an earlier dispatch is closing already, and its input has no effect.
      */
     private void onFramingError(long socket, long now) {
-        Connection connection = bySocket.get(socket);
+        Connection connection = socket < 0 ? findByBackendSocket(socket) : bySocket.get(socket);
         if (connection == null) {
             return;
         }
--- a/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
@@ -291,6 +291,24 @@
         fixture.assertTraceMatches("once");
     }
 
+    /**
+     * Bytes that follow the answer which ended a dispatch may not form lines. Taken for a fault of the client's
+     * connection, they would close it without a final answer while another backend is being asked.
+     */
+    @Test
+    void framingErrorOfEarlierDispatchLeavesLaterOneInFlight() throws Exception {
+        startReducer("s-1", "s-2");
+        acceptAndOpen(1, "c=read,d=2000");
+        connectAndWriteFirstLine(-1);
+        receiveFromBackend(-1, "ERR");
+        applyNetworkEvent("socket -1 sends no line", new NetworkEvent.FramingError(-1));
+        answerUp(-2);
+        applyNetworkEvent("socket -1 sends no line", new NetworkEvent.FramingError(-1));
+        receiveFromClient(1, "M 1");
+        closeSocket(-1, false);
+        fixture.assertTraceMatches("spoilt");
+    }
+
     /**
      * A malformed first line must be answered ERR and must not reach a backend. A client that sends nothing is rejected
      * after two seconds, and rejections are logged once in five seconds however many there are.
