Close a half-closed connection at its timeout instead of resetting its slow reader

Cause: ten seconds after the backend's end, Reducer.onTimerExpired (case CLOSING) reset both sockets at once. A reset discards what the system still holds for the client, some megabytes.

Ruled out: the write queue of the relay (empty by then, the document was read whole and nothing was dropped in CLOSING).

Change: the timeout closes the sockets first, and the system goes on sending; what it has not taken 3 s later is reset as before. A client that still sends lines has not read to the end, and a close over what it sends would reset it: each of its lines starts the 10 s anew.

--- a/relay/src/main/java/ambertrestle/relay/connection/Connection.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Connection.java
@@ -28,6 +28,8 @@
     final long clientSocket;
 
     State state = State.AWAITING_OPEN;
+    /** The sockets were asked to close; false in CLOSING while the client still gets what its backend sent. */
+    boolean isCloseRequested;
     /** The client's socket is closed; no command may be sent to it. */
     boolean isClientClosed;
     /** The client sent PING; a second one is a protocol violation. */
--- a/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
@@ -63,7 +63,10 @@
     private static final long OPEN_TIMEOUT_NANOS = 2 * NANOS_PER_SECOND;
     /** How long a client may stay connected after PONG without sending OPEN. */
     private static final long PING_LINGER_NANOS = NANOS_PER_SECOND / 2;
-    /** How long a half-closed connection may last after one side ended its output. */
+    /**
+     * How long a half-closed connection may last, counted from the end of one side's output or the client's last line
+     * after it.
+     */
     private static final long HALF_CLOSED_TIMEOUT_NANOS = 10 * NANOS_PER_SECOND;
     /** How long a peer may take to receive the last output and close, before its socket is reset. */
     private static final long CLOSE_TIMEOUT_NANOS = 3 * NANOS_PER_SECOND;
@@ -345,7 +348,12 @@
                 }
             }
             case OPEN -> forwardToBackend(connection, message.raw(), now);
-            case CLOSING -> {}
+            case CLOSING -> {
+                // A client that still sends has not read up to the end of its connection yet.
+                if (!connection.isCloseRequested) {
+                    timers.schedule(connection, now + HALF_CLOSED_TIMEOUT_NANOS);
+                }
+            }
         }
     }
 
@@ -517,6 +525,7 @@
     /** Moves the connection to CLOSING, starts the close timeout and closes the sockets after pending output. */
     private void closeSockets(Connection connection, long now) {
         connection.state = State.CLOSING;
+        connection.isCloseRequested = true;
         timers.schedule(connection, now + CLOSE_TIMEOUT_NANOS);
         connection.bufferedLines.clear();
         connection.unansweredSentAt.clear();
@@ -528,6 +537,16 @@
         }
     }
 
+    /** Resets the sockets that are left: output that a peer never receives would keep its socket open forever. */
+    private void resetSockets(Connection connection) {
+        if (connection.backendSocket != 0) {
+            emitCommand(new NetworkCommand.Reset(connection.backendSocket));
+        }
+        if (!connection.isClientClosed) {
+            emitCommand(new NetworkCommand.Reset(connection.clientSocket));
+        }
+    }
+
     // ---- Backends
 
     /**
@@ -835,7 +854,7 @@
     /**
      * Handles the expired timer of a connection. AWAITING_OPEN: the client is rejected, or closed silently after a
      * PING. DISPATCHING: a resumption is retried, a dispatch times out, or a wait is over. OPEN: the half-closed
-     * connection is closed. CLOSING: the sockets that are left are reset.
+     * connection is closed. CLOSING: the half-closed connection is closed, then the sockets that are left are reset.
      */
     private void onTimerExpired(Connection connection, long now) {
         switch (connection.state) {
@@ -848,12 +867,10 @@
                 }
             }
             case CLOSING -> {
-                // Output that the peer never receives would keep its socket open forever.
-                if (connection.backendSocket != 0) {
-                    emitCommand(new NetworkCommand.Reset(connection.backendSocket));
-                }
-                if (!connection.isClientClosed) {
-                    emitCommand(new NetworkCommand.Reset(connection.clientSocket));
+                if (connection.isCloseRequested) {
+                    resetSockets(connection);
+                } else {
+                    closeSockets(connection, now);
                 }
             }
             case OPEN -> onClientLeft(connection, now);
--- a/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
@@ -271,6 +271,26 @@
         fixture.assertTraceMatches("outcomes");
     }
 
+    /**
+     * A client that reads slowly may still be receiving the last lines when the timeout of the half-closed connection
+     * is over. A reset would discard them, so the sockets must be closed first, and not while the client still sends.
+     */
+    @Test
+    void halfClosedConnectionIsClosedBeforeItIsReset() throws Exception {
+        startReducer("s-1");
+        acceptAndOpen(1, "c=read,d=2000");
+        answerUp(-1);
+        receiveFromBackend(-1, "MOVE");
+        applyNetworkEvent("socket -1 ends its sending", new NetworkEvent.InputShutdown(-1));
+        fixture.atMillis(4_000);
+        receiveFromClient(1, "M 1");
+        fireTimerAt(10_001);
+        fireTimerAt(14_001);
+        closeSocket(-1, false);
+        fireTimerAt(17_002);
+        fixture.assertTraceMatches("halfclosed");
+    }
+
     /**
      * A timeout, a broken backend socket and a leaving client may coincide. Each handler could answer the client again
      * or close a socket twice.
