Send MOVE to a client whose backend sends an endless line on an open connection

PROTOCOL: "Cutting off without MOVE a connection whose backend still answers [...] loses it".

The decisions were told that the client had left, so nothing counted against the backend.

Change: client and backend have a handler each. An open connection whose backend garbles ends as one that its backend reset; its client gets MOVE, unless BYE or MOVE went before.

Measured: ReducerTest.movesClientWhoseBackendSendsEndlessLine failed before (two closes and no MOVE) and passes.

--- a/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
@@ -683,28 +683,48 @@
     }
 
     /**
-     * Handles input that can't be split into lines. A client that waits for an answer gets ERR; a dispatch fails; an
-     * open connection is closed. The socket of an earlier dispatch is closing already, and its input has no effect.
+     * Handles input that can't be split into lines. The socket of an earlier dispatch is closing already, and its input
+     * has no effect.
      */
     private void onFramingError(long socket, long now) {
-        Connection connection = socket < 0 ? findByBackendSocket(socket) : bySocket.get(socket);
-        if (connection == null) {
-            return;
-        }
         if (socket < 0) {
-            log("backend-garbled", "a backend sent data that is not a valid line", connection);
-        } else {
-            rejections.count(ProtocolViolation.FRAMING_ERROR);
+            Connection connection = findByBackendSocket(socket);
+            if (connection != null) {
+                onBackendFramingError(connection, now);
+            }
+        } else if (bySocket.containsKey(socket)) {
+            onClientFramingError(bySocket.get(socket), now);
         }
-        if (socket == connection.clientSocket && connection.state == State.AWAITING_OPEN) {
-            sendFinalAnswer(connection, ERR, now);
-        } else if (socket == connection.clientSocket && connection.state == State.DISPATCHING) {
-            balancer.onClientDisconnected(connection.association, now);
-            sendFinalAnswer(connection, ERR, now);
-        } else if (socket == connection.backendSocket && connection.state == State.DISPATCHING) {
+    }
+
+    /** A client that waits for an answer gets ERR; its open connection is closed. */
+    private void onClientFramingError(Connection connection, long now) {
+        rejections.count(ProtocolViolation.FRAMING_ERROR);
+        switch (connection.state) {
+            case AWAITING_OPEN -> sendFinalAnswer(connection, ERR, now);
+            case DISPATCHING -> {
+                balancer.onClientDisconnected(connection.association, now);
+                sendFinalAnswer(connection, ERR, now);
+            }
+            case OPEN -> onClientLeft(connection, now);
+            case CLOSING -> {}
+        }
+    }
+
+    /**
+     * A dispatch fails. An open connection ends, and its client, which has done nothing wrong, is asked to reconnect
+     * unless the backend has told it the end already.
+     */
+    private void onBackendFramingError(Connection connection, long now) {
+        log("backend-garbled", "a backend sent data that is not a valid line", connection);
+        if (connection.state == State.DISPATCHING) {
             onDispatchFailed(connection, DispatchOutcome.ERROR, now);
-        } else if (connection.state != State.CLOSING) {
-            onClientLeft(connection, now);
+        } else if (connection.state == State.OPEN) {
+            onBackendEnded(connection, now);
+            if (!connection.hasReceivedBye && !connection.hasReceivedMove) {
+                write(connection.clientSocket, MOVE);
+            }
+            closeSockets(connection, now);
         }
     }
 
--- a/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
@@ -329,6 +329,23 @@
         fixture.assertTraceMatches("spoilt");
     }
 
+    /**
+     * A backend that sends an endless line on an open connection can't be served any further, but its client must not
+     * be cut off without MOVE. After BYE the client has been told the end, so it gets nothing more.
+     */
+    @Test
+    void movesClientWhoseBackendSendsEndlessLine() throws Exception {
+        startReducer("s-1", "s-2");
+        acceptAndOpen(1, "c=read,d=2000");
+        answerUp(-1);
+        applyNetworkEvent("socket -1 sends no line", new NetworkEvent.FramingError(-1));
+        acceptAndOpen(2, "c=read,d=2000");
+        answerUp(-2);
+        receiveFromBackend(-2, "BYE");
+        applyNetworkEvent("socket -2 sends no line", new NetworkEvent.FramingError(-2));
+        fixture.assertTraceMatches("endless");
+    }
+
     /**
      * A malformed first line must be answered ERR and must not reach a backend. A client that sends nothing is rejected
      * after two seconds, and rejections are logged once in five seconds however many there are.
