--- a/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
@@ -91,10 +91,6 @@
     private static final int MAX_BUFFERED_LINES = 16;
     /** Limit on the unanswered lines whose times are recorded per connection. */
     private static final int MAX_TRACKED_LINES = 64;
-    /** Delay of the periodic checks above which this relay counts as stalled. */
-    private static final long STALL_THRESHOLD_NANOS = NANOS_PER_SECOND / 5;
-    /** How long the periodic checks are postponed after a stall. */
-    private static final long STALL_RECOVERY_NANOS = STALL_THRESHOLD_NANOS / 2;
     /** Extension of an expired dispatch timeout, in which the event loop can read an answer that has arrived. */
     private static final long TIMEOUT_EXTENSION_NANOS = NANOS_PER_MILLI;
     /** A backend is reported as slow above the shortest goal time of a message divided by this number. */
@@ -860,12 +856,6 @@
         if (rejectionText != null) {
             log("turned-away", rejectionText);
         }
-        if (now - nextPeriodicRunAt > STALL_THRESHOLD_NANOS) {
-            // After a stall of this relay all lines seem to be unanswered. The checks are postponed, so that
-            // input that arrived meanwhile is read before latencies are reported.
-            nextPeriodicRunAt = now + STALL_RECOVERY_NANOS;
-            return;
-        }
         latencies.report(clientConnections(), balancer, now);
         moveUnansweredConnections(now);
         nextPeriodicRunAt = now + BackendLatencyTracker.REPORT_INTERVAL_NANOS;
