Describe effects in ReducerTest by plain steps and configure its reducer in one place

Need: the two ways to start a reducer repeated its configuration, and the description of an effect was one expression of nested conditions. Change: one method builds the configuration, and describe has a branch a type. Traces and assertions are the same.

--- a/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
@@ -52,49 +52,31 @@
         return new RosterMessage(version, isComplete, entries);
     }
 
-    private void startReducer(String... names) {
+    private ReducerConfiguration configuration() {
         fixture.settings.put("familyInfo.tellsDelay", "unseen");
-        reducer = new Reducer(
-                new ReducerConfiguration(
-                        fixture.settings,
-                        7,
-                        List.of(
-                                2000 * BalancerFixture.MILLISECOND,
-                                2000 * BalancerFixture.MILLISECOND,
-                                2000 * BalancerFixture.MILLISECOND),
-                        List.of("west"),
-                        List.of("m2"),
-                        100 * BalancerFixture.MILLISECOND,
-                        maxSockets,
-                        150 * BalancerFixture.MILLISECOND,
-                        isPassThrough,
-                        new Address("r", 1)),
-                roster(3, true, names),
-                fixture.now);
+        return new ReducerConfiguration(
+                fixture.settings,
+                7,
+                List.of(
+                        2000 * BalancerFixture.MILLISECOND,
+                        2000 * BalancerFixture.MILLISECOND,
+                        2000 * BalancerFixture.MILLISECOND),
+                List.of("west"),
+                List.of("m2"),
+                100 * BalancerFixture.MILLISECOND,
+                maxSockets,
+                150 * BalancerFixture.MILLISECOND,
+                isPassThrough,
+                new Address("r", 1));
+    }
+
+    private void startReducer(String... names) {
+        reducer = new Reducer(configuration(), roster(3, true, names), fixture.now);
         apply("start", new Event.TimerFired());
     }
 
     private void startReducerWithInitialState(Recovery.InitialState initialState) {
-        fixture.settings.put("familyInfo.tellsDelay", "unseen");
-        reducer = new Reducer(
-                new ReducerConfiguration(
-                        fixture.settings,
-                        7,
-                        List.of(
-                                2000 * BalancerFixture.MILLISECOND,
-                                2000 * BalancerFixture.MILLISECOND,
-                                2000 * BalancerFixture.MILLISECOND),
-                        List.of("west"),
-                        List.of("m2"),
-                        100 * BalancerFixture.MILLISECOND,
-                        maxSockets,
-                        150 * BalancerFixture.MILLISECOND,
-                        isPassThrough,
-                        new Address("r", 1)),
-                initialState,
-                true,
-                Balancer::new,
-                fixture.now);
+        reducer = new Reducer(configuration(), initialState, true, Balancer::new, fixture.now);
         apply("start", new Event.TimerFired());
     }
 
@@ -145,33 +127,43 @@
     }
 
     /** Returns an effect's line in the trace; empty for effects that traces leave out. */
-    private String describe(Effect effect) {
+    private static String describe(Effect effect) {
         if (effect instanceof Effect.ExecuteCommand execution) {
-            NetworkCommand command = execution.command();
-            return command instanceof NetworkCommand.Connect connect
-                    ? "dial " + connect.socket() + " " + connect.address() + " " + decodeLine(connect.firstLine())
-                    : command instanceof NetworkCommand.Write write
-                            ? "write " + write.socket() + " " + decodeLine(write.line())
-                            : command instanceof NetworkCommand.Close close
-                                    ? "close " + close.socket()
-                                    : command instanceof NetworkCommand.Reset reset
-                                            ? "reset " + reset.socket()
-                                            : command instanceof NetworkCommand.ShutdownOutput shutdown
-                                                    ? "finish " + shutdown.socket()
-                                                    : command instanceof NetworkCommand.WatchRoster watch
-                                                            ? "watch " + watch.address() + " from "
-                                                                    + watch.fromVersion()
-                                                            : "";
+            return describe(execution.command());
         }
         if (effect instanceof Effect.PersistLearnedState persist) {
             return "keep " + persist.part().backends().size() + " judged, "
                     + persist.part().pins().size() + " pins";
         }
-        return effect instanceof Effect.PersistRoster persist
-                ? "keep roster " + persist.message().version()
-                : effect instanceof Effect.WriteLog logged
-                        ? "note " + logged.text()
-                        : effect instanceof Effect.Stop ? "stop" : "";
+        if (effect instanceof Effect.PersistRoster persist) {
+            return "keep roster " + persist.message().version();
+        }
+        if (effect instanceof Effect.WriteLog logged) {
+            return "note " + logged.text();
+        }
+        return effect instanceof Effect.Stop ? "stop" : "";
+    }
+
+    private static String describe(NetworkCommand command) {
+        if (command instanceof NetworkCommand.Connect connect) {
+            return "dial " + connect.socket() + " " + connect.address() + " " + decodeLine(connect.firstLine());
+        }
+        if (command instanceof NetworkCommand.Write write) {
+            return "write " + write.socket() + " " + decodeLine(write.line());
+        }
+        if (command instanceof NetworkCommand.Close close) {
+            return "close " + close.socket();
+        }
+        if (command instanceof NetworkCommand.Reset reset) {
+            return "reset " + reset.socket();
+        }
+        if (command instanceof NetworkCommand.ShutdownOutput shutdown) {
+            return "finish " + shutdown.socket();
+        }
+        if (command instanceof NetworkCommand.WatchRoster watch) {
+            return "watch " + watch.address() + " from " + watch.fromVersion();
+        }
+        return "";
     }
 
     private static String decodeLine(byte[] line) {
