--- a/lab/src/main/java/ambertrestle/lab/report/RunResult.java
+++ b/lab/src/main/java/ambertrestle/lab/report/RunResult.java
@@ -3,12 +3,12 @@
 import ambertrestle.lab.simulation.InvariantChecker;
 import ambertrestle.lab.simulation.MetricsRecorder;
 import ambertrestle.lab.simulation.MetricsRecorder.Series;
+import ambertrestle.lab.simulation.Testbed;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -34,23 +34,10 @@
     /** 10 to the power of the number of decimals in summary.json. */
     private static final double DECIMAL_SCALE = 10_000.0;
 
-    /**
-     * Collects the results of a finished or interrupted run.
-     *
-     * @param connectionTotals connections by outcome, warm-up included
-     * @param badClientCount number of clients that sent an invalid request
-     * @param unansweredBadClients how many of them got no answer
-     */
-    public static RunResult of(
-            String policy,
-            long seed,
-            boolean isComplete,
-            MetricsRecorder recorder,
-            InvariantChecker invariantChecker,
-            List<String> eventLog,
-            Map<String, Long> connectionTotals,
-            int badClientCount,
-            int unansweredBadClients) {
+    /** Collects the results of a finished or interrupted run from its testbed. */
+    public static RunResult of(String policy, long seed, boolean isComplete, Testbed testbed) {
+        MetricsRecorder recorder = testbed.metrics;
+        InvariantChecker invariantChecker = testbed.invariantChecker;
         double offeredBenefit = recorder.sum(Series.OFFERED_BENEFIT);
         JsonObject answers = new JsonObject();
         for (Series series : List.of(
@@ -81,7 +68,7 @@
                 .put("breaches", violationCounts)
                 .put("first breaches", new JsonArray(invariantChecker.violationMessages()))
                 .put("answers", answers)
-                .put("account, warm-up included", new JsonObject(new LinkedHashMap<>(connectionTotals)))
+                .put("account, warm-up included", new JsonObject(new LinkedHashMap<>(testbed.connectionTotals())))
                 .put("opens", Math.round(recorder.sum(Series.OPENS)))
                 .put("reconnects", Math.round(recorder.sum(Series.RECONNECTS)))
                 .put(
@@ -94,10 +81,10 @@
                 .put("late lines", Math.round(recorder.sum(Series.LATE_LINES)))
                 .put("opening, ms", percentiles(recorder.openingLatency))
                 .put("line, ms", percentiles(recorder.lineLatency))
-                .put("bad clients", badClientCount)
-                .put("bad clients left alone", unansweredBadClients)
-                .put("troubles", new JsonArray(eventLog));
-        return new RunResult(policy, seed, isComplete, metrics, eventLog, recorder);
+                .put("bad clients", testbed.badClientCount())
+                .put("bad clients left alone", testbed.unansweredBadClientCount())
+                .put("troubles", new JsonArray(testbed.eventLog()));
+        return new RunResult(policy, seed, isComplete, metrics, testbed.eventLog(), recorder);
     }
 
     /**
