Do not pass a backend's reset on once it has announced the end by BYE or MOVE

Cause: Reducer.onSocketClosed passed the reset on at once; a reset discards what the system still holds for the client.

Ruled out: the timeouts of a half-closed connection (10 s) and of a close (3 s).

Change: after BYE or MOVE the client's socket is closed behind its output. A reset with nothing announced is passed on as before.

--- a/relay/src/main/java/ambertrestle/relay/connection/Connection.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Connection.java
@@ -70,4 +70,9 @@
     Connection(long clientSocket) {
         this.clientSocket = clientSocket;
     }
+
+    /** Returns whether the backend has told the client that it ends the connection. */
+    boolean isEndAnnounced() {
+        return hasReceivedBye || hasReceivedMove;
+    }
 }
--- a/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
@@ -717,7 +717,7 @@
             onDispatchFailed(connection, DispatchOutcome.ERROR, now);
         } else if (connection.state == State.OPEN) {
             onBackendEnded(connection, now);
-            if (!connection.hasReceivedBye && !connection.hasReceivedMove) {
+            if (!connection.isEndAnnounced()) {
                 write(connection.clientSocket, MOVE);
             }
             closeSockets(connection, now);
@@ -727,7 +727,7 @@
     /**
      * Handles a closed socket: removes it from the socket table and ends what depended on it. A client's close ends the
      * connection; a backend's close fails the dispatch or ends the open connection. In state OPEN a reset of one side
-     * is passed on to the other.
+     * is passed on to the other, unless the backend has announced the end before.
      */
     private void onSocketClosed(long socket, boolean isReset, long now) {
         Connection connection = bySocket.remove(socket);
@@ -751,7 +751,8 @@
             connection.backendSocket = 0;
             if (connection.state == State.OPEN) {
                 onBackendEnded(connection, now);
-                if (isReset) {
+                // After BYE or MOVE, a reset would discard these lines and what comes before them.
+                if (isReset && !connection.isEndAnnounced()) {
                     emitCommand(new NetworkCommand.Reset(connection.clientSocket));
                 }
             }
--- a/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
@@ -283,6 +283,23 @@
         fixture.assertTraceMatches("halfclosed");
     }
 
+    /**
+     * A backend that closes over an unread line of the client resets its connection. If it has sent MOVE before, a
+     * reset of the client would discard the MOVE on its way; without MOVE or BYE, the reset must be passed on.
+     */
+    @Test
+    void resetAfterAnnouncedEndIsNotPassedOn() throws Exception {
+        startReducer("s-1", "s-2");
+        acceptAndOpen(1, "c=read,d=2000");
+        answerUp(-1);
+        receiveFromBackend(-1, "MOVE");
+        closeSocket(-1, true);
+        acceptAndOpen(2, "c=read,d=2000");
+        answerUp(-2);
+        closeSocket(-2, true);
+        fixture.assertTraceMatches("announced");
+    }
+
     /**
      * A timeout, a broken backend socket and a leaving client may coincide. Each handler could answer the client again
      * or close a socket twice.
