--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/src-2"
 rm -rf classes
-javac -Xlint:all -Xlint:-try -encoding UTF-8 -d classes ./*.java
+javac --release 17 -Xlint:all -Xlint:-try -encoding UTF-8 -d classes ./*.java
