--- a/review/src-2/LateCallAfterOutage.java
+++ b/review/src-2/LateCallAfterOutage.java
@@ -19,6 +19,8 @@
     private static final int FAILED_CALLS = 4;
 
     private static final int MOST_OUTAGE_MILLIS = 20_000;
+    /** Outages of each relay's discovery, one after the other; after each another backend begins to drain. */
+    private static final int ROUNDS = 3;
 
     public static void main(String[] arguments) throws Exception {
         Rig.main(arguments, LateCallAfterOutage::run);
@@ -28,21 +30,26 @@
         final Rig.Discovery discovery;
         final Rig.Relay relay;
         final List<Double> arrivals = Collections.synchronizedList(new ArrayList<>());
-        volatile boolean isDraining;
+        /** Number of backends that drain: the first ones, one more in each round. */
+        volatile int draining;
         double downAt;
         double returnedAt;
         double drainedAt;
         double heardAt;
         int failedCalls;
-        Rig.Entry drainingEntry;
+        final AtomicInteger client = new AtomicInteger();
+        final List<Rig.Entry> entries = new ArrayList<>();
+        long late;
 
         Trial(int number) throws Exception {
             discovery = new Rig.Discovery("127.0.0.1");
             for (int i = 0; i < 6; i++) {
-                boolean drains = i == 0;
+                int position = i;
                 Rig.Backend backend = new Rig.Backend("s-" + i, "127.0.0.1", (self, connection, first) -> {
-                    if (drains && isDraining) {
-                        arrivals.add(Rig.millis());
+                    if (position < draining) {
+                        if (position == draining - 1) {
+                            arrivals.add(Rig.millis());
+                        }
                         connection.send("BUSY");
                         return;
                     }
@@ -51,7 +58,7 @@
                     connection.send("BYE");
                 });
                 discovery.set(backend.entry(0));
-                drainingEntry = drains ? backend.entry(0) : drainingEntry;
+                entries.add(backend.entry(0));
             }
             relay = new Rig.Relay("n" + number, "127.0.0.1", discovery.address);
             relay.configure(
@@ -71,6 +78,19 @@
         }
 
         int run() throws Exception {
+            for (int round = 0; round < ROUNDS; round++) {
+                runRound();
+                late += lateArrivals();
+                recordRound(round);
+                arrivals.clear();
+                Rig.sleep(3000);
+            }
+            return 0;
+        }
+
+        private void runRound() throws Exception {
+            discovery.failedCalls = 0;
+            heardAt = 0;
             for (double until = Rig.millis() + 10_000; discovery.watchCount() == 0; Rig.sleep(20)) {
                 if (Rig.millis() > until) {
                     throw new Rig.CannotRun("relay " + relay.name + " opened no watch");
@@ -89,8 +109,8 @@
             returnedAt = Rig.millis();
             Rig.sleep(100);
             drainedAt = Rig.millis();
-            isDraining = true;
-            discovery.set(drainingEntry.as("terminating"));
+            draining++;
+            discovery.set(entries.get(draining - 1).as("terminating"));
             Rig.start("watcher", () -> {
                 while (discovery.watchCount() == 0) {
                     Rig.sleep(2);
@@ -100,7 +120,6 @@
             });
             // Clients come steadily, from half a second before the change counts as told.
             Rig.sleep(TOLD_AFTER_MILLIS - 500);
-            AtomicInteger client = new AtomicInteger();
             while (Rig.millis() < drainedAt + TOLD_AFTER_MILLIS + 2000) {
                 int id = client.incrementAndGet();
                 Rig.start("client", () -> {
@@ -115,7 +134,23 @@
                 });
                 Rig.sleep(20);
             }
-            return 0;
+        }
+
+        private void recordRound(int round) {
+            Rig.record(String.format(
+                    "%s, outage %d: down for %.1f s, %d calls failed; drain listed %.0f ms after the return, the relay asked"
+                            + " again %.0f ms after that; %d OPENs reached the draining backend, the last %.0f ms after"
+                            + " the drain, %d of them later than %d ms",
+                    relay.name,
+                    round + 1,
+                    (returnedAt - downAt) / 1000,
+                    failedCalls,
+                    drainedAt - returnedAt,
+                    heardAt - drainedAt,
+                    arrivals.size(),
+                    arrivals.stream().mapToDouble(at -> at - drainedAt).max().orElse(0),
+                    lateArrivals(),
+                    TOLD_AFTER_MILLIS + DRAIN_GRACE_MILLIS + SLACK_MILLIS));
         }
 
         long lateArrivals() {
@@ -142,24 +177,7 @@
         for (Thread thread : threads) {
             thread.join();
         }
-        int broken = 0;
-        for (Trial trial : trials) {
-            long late = trial.lateArrivals();
-            broken += late > 0 ? 1 : 0;
-            Rig.record(String.format(
-                    "%s: down for %.1f s, %d calls failed; drain listed %.0f ms after the return, the relay asked again"
-                            + " %.0f ms after that; %d OPENs reached the draining backend, the last %.0f ms after the"
-                            + " drain, %d of them later than %d ms",
-                    trial.relay.name,
-                    (trial.returnedAt - trial.downAt) / 1000,
-                    trial.failedCalls,
-                    trial.drainedAt - trial.returnedAt,
-                    trial.heardAt - trial.drainedAt,
-                    trial.arrivals.size(),
-                    trial.arrivals.stream().mapToDouble(at -> at - trial.drainedAt).max().orElse(0),
-                    late,
-                    TOLD_AFTER_MILLIS + DRAIN_GRACE_MILLIS + SLACK_MILLIS));
-        }
+        long broken = trials.stream().filter(trial -> trial.late > 0).count();
         Rig.record(broken + " of " + RELAYS + " relays sent new work to the draining backend too late");
         return broken > 0 ? Rig.BROKEN : Rig.HELD;
     }
