Answer requests whose line is completed after SIGTERM before the relay stops

Cause: Reducer.handOverConnections emitted Stop as soon as byAssociation was empty. A client has an association only from its whole OPEN line on, so clients in awaitingOpen were not counted, and Stop was final: what came in the 200 ms until the process ended was dispatched and cut off. Ruled out: the backend (it got no line) and the client's own limit of 2 s.

Change: ShutdownSchedule holds the times of a shutdown. Stop waits for accepted clients that have sent no whole line. Every client has its answer 0.4 s after the longest cut-off (3 s at most), 0.3 s before the earliest SIGKILL: cut-offs and the half seconds of grace end there, who still waits gets BUSY, or ERR if the request may have run. Who connects after Stop gets BUSY.

--- a/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
@@ -74,15 +74,6 @@
     private static final long RESUMPTION_RETRY_NANOS = NANOS_PER_SECOND / 4;
     /** How long attempts to resume a connection go on, counted from its OPEN line. */
     private static final long RESUMPTION_TIMEOUT_NANOS = 40 * NANOS_PER_SECOND;
-    /** How long clients may still open connections after a shutdown request; each new one restarts the time. */
-    private static final long SHUTDOWN_GRACE_NANOS = NANOS_PER_SECOND / 2;
-    /**
-     * Latest start of the hand-over, counted from the shutdown request: the shortest time after which the platform
-     * kills a relay after asking it to stop, less the time that the hand-over takes.
-     */
-    private static final long MAX_HAND_OVER_DELAY_NANOS = 3_200 * NANOS_PER_MILLI;
-    /** Time between two batches of the hand-over. */
-    private static final long HAND_OVER_INTERVAL_NANOS = SHUTDOWN_GRACE_NANOS / 8;
     /** Each batch of the hand-over moves the open connections divided by this number. */
     private static final int HAND_OVER_BATCH_DIVISOR = 4;
     /** Minimum number of connections in a batch of the hand-over; fewer only if fewer are open. */
@@ -107,6 +98,9 @@
      */
     private static final int LEARNED_STATE_PART_SIZE = 1024;
 
+    /** The reason in the log for clients that are turned away because this relay ends. */
+    private static final String SHUTDOWN_REASON = "the relay's shutdown";
+
     private static final byte[] PONG = encodeLine("PONG");
     private static final byte[] ERR = encodeLine("ERR");
     private static final byte[] BUSY = encodeLine("BUSY");
@@ -150,12 +144,8 @@
     private final InitialState initialState;
     /** Progress of the start until the roster service's list is confirmed; null if persistence is off. */
     private final StartupProgress startupProgress;
-    /** Time of the first shutdown request; 0 before. */
-    private long shutdownRequestedAt;
-    /** When the next batch of the hand-over is due; Long.MAX_VALUE before a shutdown request. */
-    private long nextHandOverAt = Long.MAX_VALUE;
-    /** {@link Effect.Stop} was emitted. */
-    private boolean isStopped;
+
+    private final ShutdownSchedule shutdown;
 
     /** Creates a reducer with the relay configuration's roster, which may be empty, and without persistence. */
     public Reducer(ReducerConfiguration configuration, RosterMessage knownRoster, long now) {
@@ -188,6 +178,7 @@
         startupProgress = isPersistenceEnabled ? new StartupProgress(initialState, now) : null;
         rosterAddress = configuration.rosterAddress();
         maxSockets = configuration.maxSockets();
+        shutdown = new ShutdownSchedule(configuration.cutOffs());
         backendDirectory = new BackendDirectory(configuration.zones(), configuration.machineTypes());
         balancer = policyFactory.create(configuration.settings(), configuration.seed(), now);
         latencies = new BackendLatencyTracker(configuration.messageGoalTime() / LATENCY_REPORT_DIVISOR);
@@ -212,8 +203,7 @@
             effects.add(new Effect.PersistLearnedState(balancer.takeLearnedStateChanges(LEARNED_STATE_PART_SIZE, now)));
         } else if (event instanceof Event.ShutdownRequested) {
             log("told-to-stop", "shutdown requested: waiting for " + byAssociation.size() + " associations to end");
-            shutdownRequestedAt = nextHandOverAt == Long.MAX_VALUE ? now : shutdownRequestedAt;
-            nextHandOverAt = Math.min(nextHandOverAt, now + SHUTDOWN_GRACE_NANOS);
+            shutdown.onRequested(now);
         }
         processDueActions(now);
         return effects;
@@ -288,6 +278,11 @@
         bySocket.put(socket, connection);
         socketCount++;
         awaitingOpen.put(socket, connection);
+        if (shutdown.isFinished()) {
+            // The process ends in a moment, and what a client sent then would get no answer.
+            reject(connection, SHUTDOWN_REASON, BUSY, now);
+            return;
+        }
         timers.schedule(connection, now + OPEN_TIMEOUT_NANOS);
         if (awaitingOpen.size() > Math.max(MIN_AWAITING_OPEN_LIMIT, maxSockets / AWAITING_OPEN_DIVISOR)
                 || socketCount > maxSockets) {
@@ -382,13 +377,11 @@
                 openRequest.tenant(),
                 openRequest.clientKey(),
                 openRequest.groupKey(),
-                now + timeoutNanos - ANSWER_RETURN_RESERVE_NANOS,
+                Math.min(now + timeoutNanos - ANSWER_RETURN_RESERVE_NANOS, shutdown.answerDeadline()),
                 openRequest.loadEstimate() * NANOS_PER_MICRO,
                 openRequest.isMidFlow(),
                 openRequest.isReconnect());
-        if (nextHandOverAt != Long.MAX_VALUE) {
-            nextHandOverAt = Math.max(nextHandOverAt, now + SHUTDOWN_GRACE_NANOS);
-        }
+        shutdown.onOpenRequest(now);
         if (openRequest.isReconnect() || openRequest.isMidFlow()) {
             reconnections.onClientReturned(openRequest.clientKey(), now);
         }
@@ -836,7 +829,7 @@
             move(byAssociation.get(association), now);
         }
         dueActions.logMessages.forEach(text -> log("decisions", text));
-        if (now >= nextHandOverAt && !isStopped) {
+        if (now >= shutdown.nextHandOverAt()) {
             handOverConnections(now);
         }
         long startupWakeAt = startupProgress == null ? Long.MAX_VALUE : startupProgress.wakeAt();
@@ -844,7 +837,7 @@
                 startupWakeAt,
                 Math.min(
                         Math.min(dueActions.wakeAt, timers.nextExpiry()),
-                        Math.min(nextPeriodicRunAt, isStopped ? nextPeriodicRunAt : nextHandOverAt)));
+                        Math.min(nextPeriodicRunAt, shutdown.nextHandOverAt())));
         if (wakeAt != scheduledWakeAt) {
             scheduledWakeAt = wakeAt;
             effects.add(new Effect.ScheduleTimer(wakeAt));
@@ -941,31 +934,55 @@
 
     /**
      * Moves the next batch of open connections after a shutdown request, when no new connections arrive any more. Emits
-     * {@link Effect.Stop} once no association is left.
+     * {@link Effect.Stop} once every client that was accepted has its answer and no association is left: a client that
+     * is still sending its OPEN line is waited for, since this relay has accepted its connection.
      */
     private void handOverConnections(long now) {
+        boolean isAnswerDeadlineOver = now >= shutdown.answerDeadline();
+        if (isAnswerDeadlineOver) {
+            answerWaitingClients(now);
+        }
         // While another relay is down too, moved clients might find no relay that accepts them. This relay still serves
         // them, so the hand-over waits.
         if (configuration.isPassThrough()
-                && now < shutdownRequestedAt + MAX_HAND_OVER_DELAY_NANOS
+                && now < shutdown.latestHandOverAt()
                 && reconnections.hasManyFromOtherRelays(byAssociation.size(), now)) {
-            nextHandOverAt = shutdownRequestedAt + MAX_HAND_OVER_DELAY_NANOS;
+            shutdown.postponeHandOver(now);
             return;
         }
         List<Connection> openConnections = clientConnections().stream()
                 .filter(connection -> connection.state == State.OPEN)
                 .toList();
         openConnections.stream()
-                .limit(Math.max(MIN_HAND_OVER_BATCH, openConnections.size() / HAND_OVER_BATCH_DIVISOR))
+                .limit(
+                        isAnswerDeadlineOver
+                                ? openConnections.size()
+                                : Math.max(MIN_HAND_OVER_BATCH, openConnections.size() / HAND_OVER_BATCH_DIVISOR))
                 .forEach(connection -> move(connection, now));
-        if (!byAssociation.isEmpty()) {
-            nextHandOverAt = now + HAND_OVER_INTERVAL_NANOS;
+        if (!byAssociation.isEmpty() || !awaitingOpen.isEmpty()) {
+            shutdown.scheduleNextBatch(now);
             return;
         }
-        isStopped = true;
+        shutdown.finish();
         effects.add(new Effect.Stop());
     }
 
+    /**
+     * Gives every client that still waits its final answer, before the platform kills this relay: BUSY if nothing can
+     * have run for it, else ERR.
+     */
+    private void answerWaitingClients(long now) {
+        for (Connection connection : clientConnections()) {
+            if (connection.state == State.AWAITING_OPEN) {
+                reject(connection, SHUTDOWN_REASON, BUSY, now);
+            } else if (connection.state == State.DISPATCHING) {
+                boolean isSafeToRetry = !connection.isResumption && connection.association.noDispatchRan();
+                balancer.onClientDisconnected(connection.association, now);
+                reject(connection, SHUTDOWN_REASON, isSafeToRetry ? BUSY : ERR, now);
+            }
+        }
+    }
+
     private void write(long socket, byte[] line) {
         emitCommand(new NetworkCommand.Write(socket, line));
     }
--- a/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
@@ -637,4 +637,31 @@
         fireTimerAt(13_300);
         fixture.assertTraceMatches("passing");
     }
+
+    /**
+     * Guards against requests that are lost because the relay stops while a client is still sending its OPEN line: it
+     * must wait for the line, and no client may be left without an answer when the platform kills the relay.
+     */
+    @Test
+    void shutdownAnswersEveryAcceptedClientBeforeItStops() throws Exception {
+        isPassThrough = false;
+        startReducer("s-1");
+        apply("told to stop", new Event.ShutdownRequested());
+        fixture.atMillis(360);
+        applyNetworkEvent("client 1 connects", new NetworkEvent.ClientAccepted(1));
+        applyNetworkEvent("client 2 connects", new NetworkEvent.ClientAccepted(2));
+        fireTimerAt(501);
+        fixture.atMillis(650);
+        receiveFromClient(1, "OPEN 1f 0 t=x,c=pay,d=2000");
+        answerUp(-1);
+        fireTimerAt(1_200);
+        applyNetworkEvent("client 3 connects", new NetworkEvent.ClientAccepted(3));
+        receiveFromClient(3, "OPEN 3f 0 t=x,c=pay,d=2000");
+        connectAndWriteFirstLine(-2);
+        for (long millis : new long[] {2_360, 2_400, 2_401, 2_463}) {
+            fireTimerAt(millis);
+        }
+        applyNetworkEvent("client 4 connects", new NetworkEvent.ClientAccepted(4));
+        fixture.assertTraceMatches("stop-waiting");
+    }
 }
