Keep the memory of a connection near the length of its lines

Cause: ClientMessage.OpenRequest held its parameters as a map of strings, and the connection held it to its end: 82,817 bytes for a line of 4,088. LineDecoder kept a buffer of the longest line ever seen. Ruled out: direct buffers (the error names the Java heap).

Change: the request keeps the values that the relay reads and where d stands in the line; the connection drops the line once it is open or closes. LineDecoder gives its buffer back when all lines were taken and keeps the start of a line in an array of its size.

--- a/relay/src/main/java/ambertrestle/relay/connection/Connection.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Connection.java
@@ -36,8 +36,12 @@
     boolean hasPinged;
     /** The request as the balancing policy sees it; null before OPEN. */
     Association association;
-    /** The decoded OPEN line; null before OPEN. */
+    /** The decoded OPEN line; null before OPEN, and again once the connection is open or closes. */
     ClientMessage.OpenRequest openRequest;
+    /** Name of the use case; null before OPEN. */
+    String useCaseName;
+    /** Name of the backend that a resumption returns to; null if it is none. */
+    String resumedBackend;
     /** Number of the socket to the backend, below 0; 0 if there is none. */
     long backendSocket;
     /** Index of the latest dispatch within the association; unused for a resumption. */
--- a/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
@@ -364,7 +364,7 @@
         // Backends refuse an id that is already open. Without this check each dispatch would be refused by one backend
         // after the other, and outlier detection would take all of them for faulty.
         if (existing != null
-                && !(openRequest.isMidFlow() && existing.openRequest.clientKey() == openRequest.clientKey())) {
+                && !(openRequest.isMidFlow() && existing.association.clientKey == openRequest.clientKey())) {
             reject(connection, ProtocolViolation.DUPLICATE_ID, ERR, now);
             return;
         }
@@ -387,6 +387,7 @@
         }
         connection.association = association;
         connection.openRequest = openRequest;
+        connection.useCaseName = openRequest.useCaseName();
         connection.state = State.DISPATCHING;
         byAssociation.put(association, connection);
         byAssociationId.put(openRequest.id(), connection);
@@ -394,6 +395,7 @@
         timers.cancel(connection);
         if (openRequest.currentBackend() != null) {
             connection.isResumption = true;
+            connection.resumedBackend = openRequest.currentBackend();
             connection.dispatchedAt = now;
             connection.backendId = BackendDirectory.backendId(openRequest.currentBackend());
             resume(connection, now);
@@ -507,7 +509,7 @@
         awaitingOpen.remove(connection.clientSocket);
         if (connection.association != null) {
             byAssociation.remove(connection.association);
-            byAssociationId.remove(connection.openRequest.id(), connection);
+            byAssociationId.remove(connection.association.id, connection);
         }
     }
 
@@ -516,6 +518,7 @@
         connection.state = State.CLOSING;
         connection.isCloseRequested = true;
         timers.schedule(connection, now + CLOSE_TIMEOUT_NANOS);
+        connection.openRequest = null;
         connection.bufferedLines.clear();
         connection.unansweredSentAt.clear();
         if (connection.backendSocket != 0) {
@@ -577,6 +580,8 @@
     /** Opens the connection: reports it to the policy, links flow control, forwards UP and the buffered lines. */
     private void onBackendUp(Connection connection, byte[] upLine, long now) {
         connection.state = State.OPEN;
+        // The line is sent to no further backend. Kept for the life of each connection, long lines would fill the heap.
+        connection.openRequest = null;
         timers.cancel(connection);
         if (connection.isResumption) {
             balancer.onConnectionAdopted(connection.association, connection.backendId, now);
@@ -630,7 +635,7 @@
      */
     private void onBackendEnded(Connection connection, long now) {
         deregister(connection);
-        reconnections.onConnectionEnded(connection.openRequest.clientKey(), now);
+        reconnections.onConnectionEnded(connection.association.clientKey, now);
         DispatchOutcome outcome = connection.hasReceivedBye
                 ? DispatchOutcome.DONE
                 : connection.hasReceivedMove ? DispatchOutcome.CANCELLED : DispatchOutcome.RESET;
@@ -925,7 +930,7 @@
             return;
         }
         deregister(connection);
-        reconnections.onConnectionEnded(connection.openRequest.clientKey(), now);
+        reconnections.onConnectionEnded(connection.association.clientKey, now);
         balancer.onDispatchFinished(
                 connection.association, connection.association.dispatchCount - 1, DispatchOutcome.CANCELLED, true, now);
         write(connection.clientSocket, MOVE);
@@ -1005,13 +1010,13 @@
     /** Logs with the fields of the connection's association; without fields before OPEN. */
     private void log(String event, String text, Connection connection) {
         Map<String, String> fields = new TreeMap<>();
-        if (connection.openRequest != null) {
-            fields.put("association", Long.toHexString(connection.openRequest.id()));
-            fields.put("useCase", connection.openRequest.parameters().get("c"));
+        if (connection.association != null) {
+            fields.put("association", Long.toHexString(connection.association.id));
+            fields.put("useCase", connection.useCaseName);
             fields.put(
                     "backend",
                     connection.isResumption
-                            ? connection.openRequest.currentBackend()
+                            ? connection.resumedBackend
                             : String.valueOf(backendDirectory.addressOf(connection.backendId)));
         }
         effects.add(new Effect.WriteLog(event, text, fields));
--- a/relay/src/main/java/ambertrestle/relay/wire/ClientMessage.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/ClientMessage.java
@@ -1,8 +1,6 @@
 package ambertrestle.relay.wire;
 
 import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.regex.Pattern;
 
 /** A decoded line from a client. */
@@ -16,6 +14,7 @@
      * @param id id of the association, unsigned
      * @param clientKey key of the client, unsigned; 0 if it has none
      * @param useCase index into {@link ConfiguredNames#useCases}
+     * @param useCaseName name of the use case
      * @param tenant index into {@link ConfiguredNames#tenants}; 0 if no tenants are configured
      * @param timeoutMillis how long the client waits for an answer, in milliseconds; -1 if the line has no `d`, in
      *     which case the cut-off of the use case applies
@@ -24,13 +23,15 @@
      * @param currentBackend name of the backend that already holds the connection; null if there is none
      * @param isMidFlow true if the connection was already open when its packets first reached this relay
      * @param isReconnect true if the client returns after its connection broke or was moved
-     * @param parameters the key-value pairs of the last field, in their original order
+     * @param timeoutStart index in the line's text at which the value of `d` begins; -1 if the line has no `d`
+     * @param timeoutEnd index in the line's text after the value of `d`; -1 if the line has no `d`
      */
     record OpenRequest(
             byte[] raw,
             long id,
             long clientKey,
             int useCase,
+            String useCaseName,
             int tenant,
             long timeoutMillis,
             long groupKey,
@@ -38,7 +39,8 @@
             String currentBackend,
             boolean isMidFlow,
             boolean isReconnect,
-            Map<String, String> parameters)
+            int timeoutStart,
+            int timeoutEnd)
             implements ClientMessage {
         /** Number of fields of an OPEN line, including the keyword. */
         private static final int FIELD_COUNT = 4;
@@ -48,20 +50,13 @@
          * is replaced by the time that this relay waits for the backend, in milliseconds.
          */
         public byte[] encodeForBackend(long dispatchTimeoutMillis) {
-            String line = LineDecoder.decodeText(raw);
-            StringBuilder out = new StringBuilder(line.substring(0, line.lastIndexOf(' ')));
-            char separator = ' ';
-            for (Map.Entry<String, String> parameter : parameters.entrySet()) {
-                out.append(separator)
-                        .append(parameter.getKey())
-                        .append('=')
-                        .append(
-                                parameter.getKey().equals("d")
-                                        ? Long.toString(dispatchTimeoutMillis)
-                                        : parameter.getValue());
-                separator = ',';
+            if (timeoutStart < 0) {
+                return raw;
             }
-            return out.append("\r\n").toString().getBytes(StandardCharsets.UTF_8);
+            String line = LineDecoder.decodeText(raw);
+            String encoded =
+                    line.substring(0, timeoutStart) + dispatchTimeoutMillis + line.substring(timeoutEnd) + "\r\n";
+            return encoded.getBytes(StandardCharsets.UTF_8);
         }
     }
 
@@ -99,42 +94,41 @@
         if (!matches(HEX_PATTERN, fields[1]) || !matches(HEX_PATTERN, fields[2])) {
             return new MalformedOpenRequest(raw, ProtocolViolation.INVALID_ID);
         }
-        Map<String, String> parameters = new LinkedHashMap<>();
-        for (String parameter : fields[3].split(",", -1)) {
-            int equalsAt = parameter.indexOf('=');
-            if (equalsAt < 1
-                    || parameters.put(parameter.substring(0, equalsAt), parameter.substring(equalsAt + 1)) != null) {
-                return new MalformedOpenRequest(raw, ProtocolViolation.INVALID_PARAMETER);
-            }
-        }
-        String timeoutMillis = parameters.getOrDefault("d", "0");
-        String groupKey = parameters.getOrDefault("g", "0");
-        String loadEstimate = parameters.getOrDefault("h", "0");
+        OpenParameters parameters = OpenParameters.parse(fields[3]);
         // U+FFFD is what the UTF-8 decoder substitutes for malformed bytes.
-        if (line.indexOf('\ufffd') >= 0
-                || !matches(MILLIS_PATTERN, timeoutMillis)
+        if (parameters == null || line.indexOf('\ufffd') >= 0) {
+            return new MalformedOpenRequest(raw, ProtocolViolation.INVALID_PARAMETER);
+        }
+        String timeoutMillis = parameters.valueOf("d", "0");
+        String groupKey = parameters.valueOf("g", "0");
+        String loadEstimate = parameters.valueOf("h", "0");
+        if (!matches(MILLIS_PATTERN, timeoutMillis)
                 || !matches(HEX_PATTERN, groupKey)
                 || !matches(LOAD_ESTIMATE_PATTERN, loadEstimate)) {
             return new MalformedOpenRequest(raw, ProtocolViolation.INVALID_PARAMETER);
         }
-        int useCase = names.useCases().indexOf(parameters.get("c"));
-        int tenant = names.tenants().isEmpty() ? 0 : names.tenants().indexOf(parameters.get("t"));
+        int useCase = names.useCases().indexOf(parameters.valueOf("c", null));
+        int tenant = names.tenants().isEmpty() ? 0 : names.tenants().indexOf(parameters.valueOf("t", null));
         if (useCase < 0 || tenant < 0) {
             return new MalformedOpenRequest(raw, ProtocolViolation.UNKNOWN_USE_CASE_OR_TENANT);
         }
+        boolean hasTimeout = parameters.has("d");
+        int timeoutStart = hasTimeout ? line.length() - fields[3].length() + parameters.valueStart("d") : -1;
         return new OpenRequest(
                 raw,
                 Long.parseUnsignedLong(fields[1], 16),
                 Long.parseUnsignedLong(fields[2], 16),
                 useCase,
+                names.useCases().get(useCase),
                 tenant,
-                parameters.containsKey("d") ? Long.parseLong(timeoutMillis) : -1,
+                hasTimeout ? Long.parseLong(timeoutMillis) : -1,
                 Long.parseUnsignedLong(groupKey, 16),
                 Double.parseDouble(loadEstimate),
-                parameters.get("at"),
-                "1".equals(parameters.get("mid")),
-                "1".equals(parameters.get("again")),
-                parameters);
+                parameters.valueOf("at", null),
+                "1".equals(parameters.valueOf("mid", null)),
+                "1".equals(parameters.valueOf("again", null)),
+                timeoutStart,
+                hasTimeout ? timeoutStart + timeoutMillis.length() : -1);
     }
 
     private static boolean matches(Pattern pattern, String value) {
--- a/relay/src/main/java/ambertrestle/relay/wire/LineDecoder.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/LineDecoder.java
@@ -2,42 +2,105 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import java.util.function.Consumer;
 
-/** Splits a byte stream, which arrives in chunks of any size, into lines. Each line includes its CRLF. */
+/**
+ * Splits a byte stream, which arrives in chunks of any size, into lines. The caller appends chunks and takes the lines
+ * one by one, each with its CRLF. Bytes that were taken hold no memory any more.
+ */
 final class LineDecoder {
     /**
      * Longest line that is accepted, including its CRLF. Without a limit, a line that never ends would fill the memory.
      */
-    private static final int MAX_LINE_BYTES = 4096;
+    static final int MAX_LINE_BYTES = 4096;
 
-    private static final int INITIAL_BUFFER_BYTES = 128;
+    private static final int MIN_CAPACITY_BYTES = 64;
+    private static final byte[] NO_BYTES = {};
 
-    /** The first {@link #length} bytes are the start of a line whose end has not arrived yet. */
-    private byte[] buffer = new byte[INITIAL_BUFFER_BYTES];
+    /** The bytes from {@link #start} to {@link #end} were appended and not taken yet. */
+    private byte[] buffer = NO_BYTES;
 
-    private int length;
+    private int start;
+    private int end;
+    /** The bytes from {@link #start} up to here contain no line end. */
+    private int searchedTo;
+
+    /** Appends a chunk. The decoder may keep the array, so the caller must not change it afterwards. */
+    void append(byte[] chunk) {
+        if (isEmpty()) {
+            buffer = chunk;
+            start = 0;
+            end = chunk.length;
+            searchedTo = 0;
+            return;
+        }
+        int length = end - start;
+        if (end + chunk.length > buffer.length) {
+            int capacity = Math.max(MIN_CAPACITY_BYTES, Math.max(2 * length, length + chunk.length));
+            moveTo(new byte[capacity]);
+        }
+        System.arraycopy(chunk, 0, buffer, end, chunk.length);
+        end += chunk.length;
+    }
+
+    /** Takes the next line, which includes its CRLF; null if none is complete or the next one is too long. */
+    byte[] takeLine() {
+        int limit = Math.min(end, start + MAX_LINE_BYTES);
+        for (int i = Math.max(searchedTo, start + 1); i < limit; i++) {
+            if (buffer[i] == '\n' && buffer[i - 1] == '\r') {
+                byte[] line = Arrays.copyOfRange(buffer, start, i + 1);
+                start = i + 1;
+                searchedTo = start;
+                releaseIfEmpty();
+                return line;
+            }
+        }
+        searchedTo = limit;
+        shrink();
+        return null;
+    }
 
     /**
-     * Decodes a chunk and passes each complete line to the consumer. Returns false when a line exceeds
-     * {@link #MAX_LINE_BYTES}: the decoder doesn't search for the start of the next line, so the caller must close the
-     * connection.
+     * Returns whether the next line exceeds {@link #MAX_LINE_BYTES}. The decoder doesn't search for the start of the
+     * line after it, so the caller must close the connection. Valid after {@link #takeLine} returned null.
      */
-    boolean feed(byte[] chunk, Consumer<byte[]> lineConsumer) {
-        for (byte b : chunk) {
-            if (length == buffer.length) {
-                buffer = Arrays.copyOf(buffer, length * 2);
-            }
-            buffer[length++] = b;
-            if (b == '\n' && length > 1 && buffer[length - 2] == '\r') {
-                byte[] line = Arrays.copyOf(buffer, length);
-                length = 0;
-                lineConsumer.accept(line);
-            } else if (length >= MAX_LINE_BYTES) {
-                return false;
-            }
+    boolean isLineTooLong() {
+        return end - start >= MAX_LINE_BYTES;
+    }
+
+    /** Returns whether every byte that was appended was also taken. */
+    boolean isEmpty() {
+        return start == end;
+    }
+
+    /** Drops what was not taken. */
+    void clear() {
+        start = end;
+        releaseIfEmpty();
+    }
+
+    private void releaseIfEmpty() {
+        if (isEmpty()) {
+            buffer = NO_BYTES;
+            start = 0;
+            end = 0;
+            searchedTo = 0;
         }
-        return true;
+    }
+
+    /** Keeps the start of an incomplete line in an array of its size: a chunk may be many times larger. */
+    private void shrink() {
+        int length = end - start;
+        if (length > 0 && length < MAX_LINE_BYTES && buffer.length > 2 * Math.max(length, MIN_CAPACITY_BYTES)) {
+            moveTo(new byte[Math.max(length, MIN_CAPACITY_BYTES)]);
+        }
+    }
+
+    private void moveTo(byte[] target) {
+        System.arraycopy(buffer, start, target, 0, end - start);
+        buffer = target;
+        searchedTo -= start;
+        end -= start;
+        start = 0;
     }
 
     /** Returns the text of a line without its CRLF. Malformed UTF-8 is replaced by U+FFFD. */
--- a/relay/src/main/java/ambertrestle/relay/wire/LineSocket.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/LineSocket.java
@@ -8,7 +8,6 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
-import java.util.function.Consumer;
 
 /**
  * A connected socket that reads and writes lines and reports a half-close, a close and a reset separately. It is
@@ -48,14 +47,10 @@
         // Without this option, a peer that only closes its sending direction would lose the data that it still reads,
         // because Netty would close the whole channel.
         channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
-        Consumer<byte[]> lineConsumer = raw -> {
-            if (!isClosing) {
-                listener.onLine(raw);
-            }
-        };
         socket.handler(chunk -> {
-            if (!isClosing && !decoder.feed(chunk.getBytes(), lineConsumer)) {
-                listener.onFramingError();
+            if (!isClosing) {
+                decoder.append(chunk.getBytes());
+                deliverLines(listener);
             }
         });
         socket.eventHandler(event -> {
@@ -73,6 +68,20 @@
         });
     }
 
+    /** Passes the complete lines to the listener, until this side closes the socket. */
+    private void deliverLines(Listener listener) {
+        for (byte[] raw = decoder.takeLine(); raw != null; raw = decoder.takeLine()) {
+            listener.onLine(raw);
+            if (isClosing) {
+                decoder.clear();
+                return;
+            }
+        }
+        if (decoder.isLineTooLong()) {
+            listener.onFramingError();
+        }
+    }
+
     /** Pauses reading from `other` while the write queue of this socket is full. */
     void linkFlowControl(LineSocket other) {
         linkedSocket = other;
