End the process after an Error in place of accepting clients that get no answer

Cause: RelayServer.handleEvent caught RuntimeException only. An Error left isHandlingEvents set, so that every later event was queued and never handled. Errors outside the reducer went to the event loop's own handler, which logs them and goes on.

Change: EventQueue holds the rule: an exception costs its event, an Error is logged (internal-error) and ends the process with code 70, since the state may be half changed and the platform resets its connections, which clients answer by coming again. The same for what the event loop catches outside events.

--- a/relay/src/main/java/ambertrestle/relay/server/RelayServer.java
+++ b/relay/src/main/java/ambertrestle/relay/server/RelayServer.java
@@ -21,7 +21,6 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
 import java.lang.System.Logger.Level;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -51,12 +50,11 @@
     private final SocketManager socketManager;
     private final RosterWatcher rosterWatcher;
     private final Reducer reducer;
-    /** Events that arrived while another one was being handled, oldest first. */
-    private final ArrayDeque<Event> pendingEvents = new ArrayDeque<>();
+    private final EventQueue events =
+            new EventQueue(this::applyEvent, code -> Runtime.getRuntime().halt(code));
     /** Released when the JVM may end. */
     private final CountDownLatch stopped = new CountDownLatch(1);
 
-    private boolean isHandlingEvents;
     /** Vert.x id of the reducer's timer; -1 before the first. */
     private long reducerTimer = -1;
     /**
@@ -76,6 +74,7 @@
             List<LogMessage> logMessages) {
         this.vertx = vertx;
         eventLoop = vertx.getOrCreateContext();
+        vertx.exceptionHandler(events::onFailure);
         socketManager = new SocketManager(
                 vertx, configuration.connectTimeoutMillis(), configuration.names(), this::onNetworkEvent);
         rosterWatcher = new RosterWatcher(vertx, this::onNetworkEvent);
@@ -223,22 +222,13 @@
 
     /** Handles an event. Events that its effects raise at once are queued until it is finished. */
     private void handleEvent(Event event) {
-        pendingEvents.add(event);
-        if (isHandlingEvents) {
-            return;
-        }
-        isHandlingEvents = true;
-        while (!pendingEvents.isEmpty()) {
-            try {
-                for (Effect effect : reducer.apply(pendingEvents.poll(), now())) {
-                    execute(effect);
-                }
-            } catch (RuntimeException e) {
-                // Without this handler, one event that fails would end the relay or block the events queued behind it.
-                Log.logFailure("event-failed", "handling an event failed", e);
-            }
+        events.add(event);
+    }
+
+    private void applyEvent(Event event) {
+        for (Effect effect : reducer.apply(event, now())) {
+            execute(effect);
         }
-        isHandlingEvents = false;
     }
 
     /** Writes a message of the persistence package to the log. */
