Close the sockets of a connection once both sides have ended their output

The log says "lack of free sockets".

Cause: Reducer.onInputShutdown kept a half-closed connection for ten seconds from the second end of output on, as it does after the first: the end of the backend's output did not know of the client's before it. Neither side can send anything after both ends.

Change: after the second end both sockets close, once what is queued for the client is written; a client that does not take it still has ten seconds.

Result: socketsCloseOnceBothSidesEndedTheirOutput fails before ("finish 1" and a wait of 10 s in place of the closes) and passes.

--- a/relay/src/main/java/ambertrestle/relay/connection/Connection.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Connection.java
@@ -32,6 +32,8 @@
     boolean isCloseRequested;
     /** The client's socket is closed; no command may be sent to it. */
     boolean isClientClosed;
+    /** The client ended its output; it may still read. */
+    boolean isClientInputEnded;
     /** The client sent PING; a second one is a protocol violation. */
     boolean hasPinged;
     /** The request as the balancing policy sees it; null before OPEN. */
--- a/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
@@ -630,8 +630,8 @@
     }
 
     /**
-     * Ends an open connection whose backend closed it and reports the outcome to the policy: DONE after BYE, CANCELLED
-     * after MOVE, otherwise RESET.
+     * Ends an open connection whose backend ended it and reports the outcome to the policy: DONE after BYE, CANCELLED
+     * after MOVE, else RESET.
      */
     private void onBackendEnded(Connection connection, long now) {
         deregister(connection);
@@ -647,8 +647,9 @@
 
     /**
      * Handles a peer that ended its output. In state OPEN the other side's output is ended too, and the connection may
-     * stay half-closed until a timeout. In any other state, a client that ended its output is treated as gone. In state
-     * DISPATCHING, a backend that ended its output fails the dispatch. The socket of an earlier dispatch is closed.
+     * stay half-closed until a timeout; once both sides have ended theirs, the sockets close. In any other state, a
+     * client that ended its output is treated as gone. In state DISPATCHING, a backend that ended its output fails the
+     * dispatch. The socket of an earlier dispatch is closed.
      */
     private void onInputShutdown(long socket, long now) {
         Connection connection = bySocket.get(socket);
@@ -656,6 +657,7 @@
             return;
         }
         if (socket == connection.clientSocket) {
+            connection.isClientInputEnded = true;
             if (connection.state == State.OPEN) {
                 emitCommand(new NetworkCommand.ShutdownOutput(connection.backendSocket));
                 timers.schedule(connection, now + HALF_CLOSED_TIMEOUT_NANOS);
@@ -666,9 +668,15 @@
             if (connection.state == State.DISPATCHING) {
                 onDispatchFailed(connection, brokenSocketOutcome(connection), now);
             } else if (connection.state == State.OPEN) {
-                emitCommand(new NetworkCommand.ShutdownOutput(connection.clientSocket));
                 onBackendEnded(connection, now);
-                connection.state = State.CLOSING;
+                if (connection.isClientInputEnded) {
+                    // Nothing can follow in either direction, so the sockets close as soon as the client has the rest.
+                    // Half-closed until the timeout, the sockets of short connections would use up all descriptors.
+                    closeSockets(connection, now);
+                } else {
+                    emitCommand(new NetworkCommand.ShutdownOutput(connection.clientSocket));
+                    connection.state = State.CLOSING;
+                }
                 timers.schedule(connection, now + HALF_CLOSED_TIMEOUT_NANOS);
             }
         } else {
--- a/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
@@ -664,4 +664,21 @@
         applyNetworkEvent("client 4 connects", new NetworkEvent.ClientAccepted(4));
         fixture.assertTraceMatches("stop-waiting");
     }
+
+    /**
+     * Guards against short connections that use up all descriptors: the client ends its output, the backend follows,
+     * and both sockets stayed open for ten seconds more.
+     */
+    @Test
+    void socketsCloseOnceBothSidesEndedTheirOutput() throws Exception {
+        startReducer("s-1");
+        acceptAndOpen(1, "c=read,d=2000");
+        answerUp(-1);
+        applyNetworkEvent("client ends its output", new NetworkEvent.InputShutdown(1));
+        receiveFromBackend(-1, "M last");
+        applyNetworkEvent("backend ends its output", new NetworkEvent.InputShutdown(-1));
+        closeSocket(-1, false);
+        closeSocket(1, false);
+        fixture.assertTraceMatches("both-ended");
+    }
 }
