Do not blame a backend that ends its output because its client did

How it was found: a scratch copy that counted the decisions' sheds and printed each reported delay: no backend was eligible at the time of each such BUSY, with all eight ready, and every delay was exactly the goal of 100 ms, which only Balancer.recordOutcome reports, after two resets in short succession. Ruled out: evictions for lack of sockets (the oldest waiting client is a slow one), paced set-ups (none), delays measured on lines (none over a third of the goal).

Cause: a client that closes its connection is seen as the end of its output first. Where delay is unobserved, resets count as overload, so every backend whose clients come and go was taken for overloaded and given a load limit.

Change: if the client ended its output first and the backend follows with a plain end, the decisions are told that the client left. A reset, and BYE or MOVE before the end, count as before.

Result: backendThatFollowsItsClientsEndIsNotBlamed fails before and passes.

--- a/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
@@ -631,10 +631,17 @@
 
     /**
      * Ends an open connection whose backend ended it and reports the outcome to the policy: DONE after BYE, CANCELLED
-     * after MOVE, else RESET.
+     * after MOVE, else RESET. A backend that ends its output because the client has ended its own isn't at fault; the
+     * policy is told that the client left.
+     *
+     * @param isBroken true after a reset and after input that is not a line
      */
-    private void onBackendEnded(Connection connection, long now) {
+    private void onBackendEnded(Connection connection, boolean isBroken, long now) {
         deregister(connection);
+        if (connection.isClientInputEnded && !isBroken && !connection.isEndAnnounced()) {
+            balancer.onClientDisconnected(connection.association, now);
+            return;
+        }
         reconnections.onConnectionEnded(connection.association.clientKey, now);
         DispatchOutcome outcome = connection.hasReceivedBye
                 ? DispatchOutcome.DONE
@@ -668,7 +675,7 @@
             if (connection.state == State.DISPATCHING) {
                 onDispatchFailed(connection, brokenSocketOutcome(connection), now);
             } else if (connection.state == State.OPEN) {
-                onBackendEnded(connection, now);
+                onBackendEnded(connection, false, now);
                 if (connection.isClientInputEnded) {
                     // Nothing can follow in either direction, so the sockets close as soon as the client has the rest.
                     // Half-closed until the timeout, the sockets of short connections would use up all descriptors.
@@ -722,7 +729,7 @@
         if (connection.state == State.DISPATCHING) {
             onDispatchFailed(connection, DispatchOutcome.ERROR, now);
         } else if (connection.state == State.OPEN) {
-            onBackendEnded(connection, now);
+            onBackendEnded(connection, true, now);
             if (!connection.isEndAnnounced()) {
                 write(connection.clientSocket, MOVE);
             }
@@ -756,7 +763,7 @@
             }
             connection.backendSocket = 0;
             if (connection.state == State.OPEN) {
-                onBackendEnded(connection, now);
+                onBackendEnded(connection, isReset, now);
                 // After BYE or MOVE, a reset would discard these lines and what comes before them.
                 if (isReset && !connection.isEndAnnounced()) {
                     emitCommand(new NetworkCommand.Reset(connection.clientSocket));
--- a/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
@@ -1,5 +1,7 @@
 package ambertrestle.relay.connection;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import ambertrestle.decide.Balancer;
 import ambertrestle.decide.BalancerFixture;
 import ambertrestle.decide.LearnedState;
@@ -681,4 +683,24 @@
         closeSocket(1, false);
         fixture.assertTraceMatches("both-ended");
     }
+
+    /**
+     * Guards against sound backends that are avoided: where delay is unobserved, resets count as a sign of overload,
+     * and a backend that followed the end of its clients' output was taken for one that resets them.
+     */
+    @Test
+    void backendThatFollowsItsClientsEndIsNotBlamed() {
+        startReducer("s-1");
+        for (int i = 1; i <= 40; i++) {
+            fixture.atMillis(400 * i);
+            acceptAndOpen(i, "c=read,d=2000");
+            answerUp(-i);
+            applyNetworkEvent("client ends its output", new NetworkEvent.InputShutdown(i));
+            applyNetworkEvent("backend ends its output", new NetworkEvent.InputShutdown(-i));
+            closeSocket(-i, false);
+            closeSocket(i, false);
+        }
+        assertThat(fixture.trace.toString()).doesNotContain("BUSY").doesNotContain("MOVE");
+        assertThat(fixture.trace.toString().split("write \\d+ UP", -1)).hasSize(41);
+    }
 }
