Bound what clients with ever new keys leave behind at a relay

TrackingEntry held a list and its array for connections that had ended.

A tracking entry without a connection holds no list.

--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -1310,7 +1310,7 @@
         if (association.placementKey() != 0) {
             TrackingEntry entry = trackingTable.computeIfAbsent(association.placementKey(), TrackingEntry::new);
             sameKeyPairs += entry.openConnections.size();
-            entry.openConnections.add(association);
+            entry.addConnection(association);
             TrackingEntry pin = association.subsetIndex <= 0
                     ? entry
                     : trackingTable.computeIfAbsent(association.pinKey(), TrackingEntry::new);
@@ -1337,7 +1337,7 @@
             occupiedBackends -= backend.openConnections.isEmpty() ? 1 : 0;
         }
         TrackingEntry entry = trackingTable.get(association.placementKey());
-        if (entry != null && entry.openConnections.remove(association)) {
+        if (entry != null && entry.removeConnection(association)) {
             sameKeyPairs -= entry.openConnections.size();
             entry.unusedSince = now;
             changeTracker.markChanged(entry);
--- a/core/src/main/java/ambertrestle/decide/TrackingEntry.java
+++ b/core/src/main/java/ambertrestle/decide/TrackingEntry.java
@@ -1,6 +1,7 @@
 package ambertrestle.decide;
 
 import java.util.ArrayList;
+import java.util.List;
 
 /**
  * An entry of the tracking table: the backend that a key is pinned to and the key's open connections. A group whose
@@ -14,7 +15,10 @@
     /** The backend of the connection established last; null if the key has no pin. */
     Backend pinnedBackend;
 
-    final ArrayList<Association> openConnections = new ArrayList<>(2);
+    /**
+     * Changed by {@link #addConnection} and {@link #removeConnection} only; most entries have none and hold no list.
+     */
+    List<Association> openConnections = List.of();
     /** When a connection of the key last ended, in nanoseconds; 0 if none has ended yet. */
     long unusedSince;
 
@@ -25,6 +29,24 @@
         this.key = key;
     }
 
+    void addConnection(Association association) {
+        if (openConnections.isEmpty()) {
+            openConnections = new ArrayList<>(1);
+        }
+        openConnections.add(association);
+    }
+
+    /** Returns false if the connection is not in this entry. */
+    boolean removeConnection(Association association) {
+        if (openConnections.isEmpty() || !openConnections.remove(association)) {
+            return false;
+        }
+        if (openConnections.isEmpty()) {
+            openConnections = List.of();
+        }
+        return true;
+    }
+
     /** Returns the part of this entry that is persisted. */
     LearnedState.Pin toPin() {
         boolean isUnpinned = removed || pinnedBackend == null;
