Do not send on a request whose client has reset its connection

Cause: what a client sent before its reset is read first, and the request is given to a backend. The reset is read in the next turn of the event loop, but LineSocket told of it in the close handler, which runs after all sockets of that turn; the backend's connection, made in the same turn, came before it and the OPEN line was written. An ordinary end is told while the client's socket is read. Close of the backend's socket then still wrote what was queued.

Change: an I/O error is told at once. The first line is written one turn after the connection is made, when the ends of all clients that were ready with it are known, and only if the dispatch is still wanted. A dispatch given up while its line is partly written is reset, not closed.

--- a/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
@@ -522,7 +522,11 @@
         connection.bufferedLines.clear();
         connection.unansweredSentAt.clear();
         if (connection.backendSocket != 0) {
-            emitCommand(new NetworkCommand.Close(connection.backendSocket));
+            // Close would still write the rest of the OPEN line, for a client that got its answer or is gone.
+            emitCommand(
+                    connection.isFirstLineQueued && !connection.isFirstLineWritten
+                            ? new NetworkCommand.Reset(connection.backendSocket)
+                            : new NetworkCommand.Close(connection.backendSocket));
         }
         if (!connection.isClientClosed) {
             emitCommand(new NetworkCommand.Close(connection.clientSocket));
--- a/relay/src/main/java/ambertrestle/relay/wire/LineSocket.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/LineSocket.java
@@ -45,6 +45,8 @@
     private boolean hasFramingError;
     /** An I/O error occurred, such as a reset by the peer. */
     private boolean isReset;
+    /** The listener was told that the channel closed. */
+    private boolean isCloseReported;
     /** This side closes or resets the socket; what still arrives is ignored. */
     private boolean isClosing;
 
@@ -82,7 +84,13 @@
                 listener.onInputShutdown();
             }
         });
-        socket.exceptionHandler(e -> isReset = true);
+        // The channel closes after an I/O error, but its close handler runs in a later turn of the event loop. Until
+        // then
+        // the reducer would dispatch requests of a client that is gone.
+        socket.exceptionHandler(e -> {
+            isReset = true;
+            onChannelClosed();
+        });
         socket.drainHandler(v -> holdLinkedSocket(false));
         socket.closeHandler(v -> onChannelClosed());
     }
@@ -152,6 +160,10 @@
     }
 
     private void onChannelClosed() {
+        if (isCloseReported) {
+            return;
+        }
+        isCloseReported = true;
         // Lines that arrived before the end come before it.
         if (!isClosing && decoder.hasLine()) {
             deliverLines(Integer.MAX_VALUE);
@@ -191,6 +203,11 @@
         channel.config().setAutoRead(!isHeldByLinkedSocket && !isWaitingForTurn);
     }
 
+    /** Returns whether the socket closed, or this side closes or resets it. */
+    boolean isClosing() {
+        return isClosing || isCloseReported;
+    }
+
     /** Writes a line, which must include its CRLF. While a batch is open, it is flushed at the end of the batch. */
     void write(byte[] line) {
         if (unflushedLines == null) {
--- a/relay/src/main/java/ambertrestle/relay/wire/SocketManager.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/SocketManager.java
@@ -26,6 +26,7 @@
      */
     private static final int CONNECT_TIMEOUT_FACTOR = 2;
 
+    private final Vertx vertx;
     private final NetServer server;
     private final NetClient client;
     private final Consumer<NetworkEvent> eventListener;
@@ -48,6 +49,7 @@
      */
     public SocketManager(
             Vertx vertx, int connectTimeoutMillis, ConfiguredNames names, Consumer<NetworkEvent> eventListener) {
+        this.vertx = vertx;
         this.eventListener = eventListener;
         this.names = names;
         server = vertx.createNetServer(new NetServerOptions()
@@ -109,13 +111,25 @@
                                 }
                             });
                     openSockets.put(socket, lineSocket);
-                    eventListener.accept(new NetworkEvent.BackendConnected(socket));
-                    lineSocket
-                            .writeAndFlush(firstLine)
-                            .onSuccess(v -> eventListener.accept(new NetworkEvent.FirstLineWritten(socket)));
+                    // The end of the client's connection may be ready to be read in this turn too. In the next one it
+                    // was read, and a request whose client is gone is not sent.
+                    vertx.runOnContext(v -> writeFirstLine(socket, lineSocket, firstLine));
                 });
     }
 
+    /** Reports that a backend is connected and writes the first line, unless the connection was given up meanwhile. */
+    private void writeFirstLine(long socket, LineSocket lineSocket, byte[] firstLine) {
+        if (lineSocket.isClosing()) {
+            return;
+        }
+        eventListener.accept(new NetworkEvent.BackendConnected(socket));
+        if (!lineSocket.isClosing()) {
+            lineSocket
+                    .writeAndFlush(firstLine)
+                    .onSuccess(v -> eventListener.accept(new NetworkEvent.FirstLineWritten(socket)));
+        }
+    }
+
     /** Executes a command; {@link NetworkCommand.WatchRoster} is ignored, {@link RosterWatcher} handles it. */
     public void execute(NetworkCommand command) {
         if (command instanceof NetworkCommand.Connect connect) {
--- a/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
@@ -703,4 +703,17 @@
         assertThat(fixture.trace.toString()).doesNotContain("BUSY").doesNotContain("MOVE");
         assertThat(fixture.trace.toString().split("write \\d+ UP", -1)).hasSize(41);
     }
+
+    /**
+     * Guards against requests that are sent on after their client is gone: a close of the backend's socket would still
+     * write what is left of the OPEN line.
+     */
+    @Test
+    void openLineThatIsPartlyWrittenIsDiscardedWhenItsClientLeaves() {
+        startReducer("s-1");
+        acceptAndOpen(1, "c=pay,d=2000");
+        applyNetworkEvent("connected", new NetworkEvent.BackendConnected(-1));
+        closeSocket(1, true);
+        assertThat(fixture.trace.toString()).contains("reset -1").doesNotContain("close -1");
+    }
 }
--- a/relay/src/test/java/ambertrestle/relay/wire/SocketManagerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/wire/SocketManagerTest.java
@@ -197,6 +197,42 @@
         }
     }
 
+    /**
+     * Guards against requests that are sent on after their client is gone: a relay that was held up reads the request
+     * and the reset one after the other, and the reset must be seen before the request is written to a backend.
+     */
+    @Test
+    void requestOfClientThatResetItsConnectionIsNotSent() throws Exception {
+        try (ServerSocket backend = new ServerSocket(0, 5, loopback)) {
+            SocketManager[] relaySockets = new SocketManager[1];
+            relaySockets[0] = new SocketManager(vertx, 2000, new ConfiguredNames(List.of("read"), List.of()), event -> {
+                events.add(event);
+                if (event instanceof NetworkEvent.ClientMessageReceived) {
+                    String address = "127.0.0.1:" + backend.getLocalPort();
+                    relaySockets[0].execute(new NetworkCommand.Connect(-1, address, bytes("OPEN\r\n")));
+                } else if (event.equals(new NetworkEvent.SocketClosed(1, true))) {
+                    relaySockets[0].execute(new NetworkCommand.Close(-1));
+                }
+            });
+            int port = relaySockets[0]
+                    .listen("127.0.0.1", 0)
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .get(10, TimeUnit.SECONDS);
+            CountDownLatch unblock = blockEventLoop();
+            try (Socket client = new Socket(loopback, port)) {
+                client.getOutputStream().write(bytes("OPEN 1 1 c=read\r\n"));
+                client.setSoLinger(true, 0);
+            }
+            unblock.countDown();
+            try (Socket connection = backend.accept()) {
+                assertThat(connection.getInputStream().read()).isEqualTo(-1);
+            }
+            assertThat(pollEventNames(4))
+                    .containsExactly("ClientAccepted", "OpenRequest", "SocketClosed", "SocketClosed");
+        }
+    }
+
     /** Without the event, a dispatch to a backend that refuses connections, or has a malformed address, never ends. */
     @Test
     void reportsResetForRefusedConnectionAndInvalidAddress() throws Exception {
