Bind an id that comes again by what may have run for it

Cause: the decisions know what may have run by the Association, which ends with the client. The check for an id in use (Reducer.byAssociationId) ends with it too, so the second OPEN is a new association without a past. Ruled out: a second dispatch of the first association (each had one).

An association that has not been dispatched starts with what is remembered of its id, so the existing rule (isSafeToRepeat) decides: binding gets ERR, fingerprinted may run again within its scope and window, retriable as before. Mid-flow associations are the same connection and left out. A dispatch whose OPEN line was not passed to a socket is told as NOT_SENT when its client leaves, so a request that never left may still run.

--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -280,6 +280,8 @@
     private final LinkedHashSet<Backend> slowBackends = new LinkedHashSet<>();
     /** Backends with recent evidence of set-ups, so that detecting widespread failures needn't visit all backends. */
     private final LinkedHashSet<Backend> recentlyTriedBackends = new LinkedHashSet<>();
+    /** Dispatches of ended associations whose use cases limit repeats. */
+    private final DispatchHistory dispatchHistory = new DispatchHistory();
     /** Records what changed since learned state was last taken. */
     private final ChangeTracker changeTracker = new ChangeTracker();
     /**
@@ -350,18 +352,23 @@
         if (association.closed || association.hasDispatchInFlight()) {
             return Decision.NOTHING;
         }
+        // An id that comes again after its client left is bound by what may have run for it. A mid-flow association is
+        // the same connection.
+        if (association.dispatchCount == 0 && !association.isMidFlow) {
+            dispatchHistory.restoreInto(association, now);
+        }
         // Gives the final answer as soon as no dispatch is possible any more. Otherwise the client would wait until its
         // cut-off.
         if (now >= association.cutOffAt
                 || association.dispatchCount - association.uncountedDispatches >= maxDispatches
                 || !isSafeToRepeat(association, null, now)) {
-            return shedOrForfeit(association);
+            return shedOrForfeit(association, now);
         }
         // Set-up pacing: waits for the next free set-up time, or gives up if that leaves less than a quarter of the use
         // case's cut-off time.
         if (setUpInterval > 0 && now < nextSetUpAt && association.reservedSetUpAt == 0 && !association.isMidFlow) {
             if (nextSetUpAt >= association.cutOffAt - useCases[association.useCase].cutOff() / PACING_RESERVE_DIVISOR) {
-                return shedOrForfeit(association);
+                return shedOrForfeit(association, now);
             }
             association.reservedSetUpAt = nextSetUpAt;
             nextSetUpAt += setUpInterval;
@@ -396,6 +403,7 @@
                 : typicalSetUpTime;
         if (finished || association.closed) {
             association.closed = true;
+            dispatchHistory.record(association, useCases[association.useCase], now);
             return Decision.NOTHING;
         }
         return selectBackend(association, now);
@@ -663,6 +671,7 @@
     @Override
     public void onClientDisconnected(Association association, long now) {
         association.closed = true;
+        dispatchHistory.record(association, useCases[association.useCase], now);
         if (association.hasDispatchInFlight()) {
             removeConnection(association, backendsById.get(association.sentTo[association.dispatchCount - 1]), now);
         }
@@ -1273,16 +1282,17 @@
         UseCase useCase = useCases[association.useCase];
         return retryAt < association.cutOffAt - useCase.cutOff() + useCase.goalTime()
                 ? new Decision(Decision.Kind.WAIT, 0, retryAt)
-                : shedOrForfeit(association);
+                : shedOrForfeit(association, now);
     }
 
     /**
      * Rule 1, one final answer: closes the association. It is shed if the client may safely repeat it, because no
      * dispatch ran or repeats have no further effect; otherwise it is forfeited.
      */
-    private Decision shedOrForfeit(Association association) {
-        association.closed = true;
+    private Decision shedOrForfeit(Association association, long now) {
         UseCase useCase = useCases[association.useCase];
+        association.closed = true;
+        dispatchHistory.record(association, useCase, now);
         boolean mayShed = useCase.effect() == UseCase.Effect.RETRIABLE
                 || useCase.scope() == UseCase.DeduplicationScope.ALL
                 || association.noDispatchRan();
--- a/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
@@ -350,7 +350,7 @@
 
     /** Rejects a client that sent a valid OPEN line but violated the protocol before it was answered. */
     private void onProtocolViolation(Connection connection, ProtocolViolation violation, long now) {
-        balancer.onClientDisconnected(connection.association, now);
+        abandonAssociation(connection, now);
         reject(connection, violation, ERR, now);
     }
 
@@ -438,11 +438,27 @@
     private void onClientLeft(Connection connection, long now) {
         if (connection.state == State.DISPATCHING || connection.state == State.OPEN) {
             deregister(connection);
-            balancer.onClientDisconnected(connection.association, now);
+            abandonAssociation(connection, now);
         }
         closeSockets(connection, now);
     }
 
+    /**
+     * Tells the policy that the client no longer waits for the association. A dispatch whose OPEN line was not passed
+     * to a socket yet certainly had no effect.
+     */
+    private void abandonAssociation(Connection connection, long now) {
+        boolean isDispatchUnsent = connection.state == State.DISPATCHING
+                && !connection.isResumption
+                && connection.backendSocket != 0
+                && !connection.isFirstLineQueued;
+        if (isDispatchUnsent) {
+            balancer.onDispatchFinished(
+                    connection.association, connection.dispatchIndex, DispatchOutcome.NOT_SENT, true, now);
+        }
+        balancer.onClientDisconnected(connection.association, now);
+    }
+
     // ---- Decisions of the balancing policy
 
     /**
@@ -716,7 +732,7 @@
         switch (connection.state) {
             case AWAITING_OPEN -> sendFinalAnswer(connection, ERR, now);
             case DISPATCHING -> {
-                balancer.onClientDisconnected(connection.association, now);
+                abandonAssociation(connection, now);
                 sendFinalAnswer(connection, ERR, now);
             }
             case OPEN -> onClientLeft(connection, now);
@@ -1001,7 +1017,7 @@
                 reject(connection, SHUTDOWN_REASON, BUSY, now);
             } else if (connection.state == State.DISPATCHING) {
                 boolean isSafeToRetry = !connection.isResumption && connection.association.noDispatchRan();
-                balancer.onClientDisconnected(connection.association, now);
+                abandonAssociation(connection, now);
                 reject(connection, SHUTDOWN_REASON, isSafeToRetry ? BUSY : ERR, now);
             }
         }
--- a/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
@@ -716,4 +716,31 @@
         closeSocket(1, true);
         assertThat(fixture.trace.toString()).contains("reset -1").doesNotContain("close -1");
     }
+
+    /**
+     * Guards against an id that runs twice: its client leaves while the backend still works on it and comes again with
+     * the same id. A request that was never sent may still run.
+     */
+    @Test
+    void idOfClientThatLeftDoesNotRunAgain() throws Exception {
+        startReducer("s-1", "s-2");
+        acceptAndOpen(1, "c=pay,d=2000");
+        closeSocket(1, false);
+        closeSocket(-1, false);
+        openAgain(2, "1f", "c=pay,d=2000");
+        connectAndWriteFirstLine(-2);
+        closeSocket(2, false);
+        openAgain(3, "1f", "c=pay,d=2000");
+        acceptAndOpen(4, "c=read,d=2000");
+        connectAndWriteFirstLine(-3);
+        closeSocket(4, false);
+        openAgain(5, "4f", "c=read,d=2000");
+        fixture.assertTraceMatches("same-id");
+    }
+
+    /** Accepts a client and sends an OPEN line with this id. */
+    private void openAgain(long socket, String id, String parameters) {
+        reducer.apply(new Event.NetworkEventReceived(new NetworkEvent.ClientAccepted(socket)), fixture.now);
+        receiveFromClient(socket, "OPEN " + id + " 0 t=x," + parameters);
+    }
 }
