Limit the bytes that a client may send before its request is answered

Change: LineBuffer holds these lines and their two limits, 16 lines as before and 16 KiB; beyond either the client gets ERR, as a protocol violation. PROTOCOL: "A connection begins with one line, and the client then waits".

Result: clientThatSendsTooMuchBeforeItsAnswerIsRejected; before, the fifth line of 4,000 bytes was kept.

--- a/relay/src/main/java/ambertrestle/relay/connection/Connection.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Connection.java
@@ -67,9 +67,9 @@
     /** The backend sent MOVE: it asked the client to reconnect. */
     boolean hasReceivedMove;
     /** Lines that the client sent before the connection was open, in order. */
-    final ArrayDeque<byte[]> bufferedLines = new ArrayDeque<>();
+    final LineBuffer bufferedLines = new LineBuffer();
     /** When each of the client's lines that is still unanswered was forwarded, oldest first. */
-    final ArrayDeque<Long> unansweredSentAt = new ArrayDeque<>();
+    final ArrayDeque<Long> unansweredSentAt = new ArrayDeque<>(0);
     /** The pending timer; null if there is none. Set by {@link ConnectionTimers} only. */
     ConnectionTimers.Timer timer;
 
--- a/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
@@ -78,8 +78,6 @@
     private static final int HAND_OVER_BATCH_DIVISOR = 4;
     /** Minimum number of connections in a batch of the hand-over; fewer only if fewer are open. */
     private static final int MIN_HAND_OVER_BATCH = 4;
-    /** Limit on the lines that are buffered for a client whose connection isn't open yet. */
-    private static final int MAX_BUFFERED_LINES = 16;
     /** Limit on the unanswered lines whose times are recorded per connection. */
     private static final int MAX_TRACKED_LINES = 64;
     /** Extension of an expired dispatch timeout, in which the event loop can read an answer that has arrived. */
@@ -331,10 +329,9 @@
                 }
             }
             case DISPATCHING -> {
-                // Without a limit, a client that keeps sending before its connection is open would use up the memory.
-                if (message instanceof ClientMessage.Payload && connection.bufferedLines.size() < MAX_BUFFERED_LINES) {
-                    connection.bufferedLines.add(message.raw());
-                } else {
+                boolean isBuffered =
+                        message instanceof ClientMessage.Payload && connection.bufferedLines.add(message.raw());
+                if (!isBuffered) {
                     onProtocolViolation(connection, ProtocolViolation.COMMAND_BEFORE_ANSWER, now);
                 }
             }
@@ -611,8 +608,8 @@
         }
         emitCommand(new NetworkCommand.LinkFlowControl(connection.clientSocket, connection.backendSocket));
         write(connection.clientSocket, upLine);
-        while (!connection.bufferedLines.isEmpty()) {
-            forwardToBackend(connection, connection.bufferedLines.poll(), now);
+        for (byte[] line = connection.bufferedLines.poll(); line != null; line = connection.bufferedLines.poll()) {
+            forwardToBackend(connection, line, now);
         }
     }
 
--- a/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
@@ -743,4 +743,17 @@
         reducer.apply(new Event.NetworkEventReceived(new NetworkEvent.ClientAccepted(socket)), fixture.now);
         receiveFromClient(socket, "OPEN " + id + " 0 t=x," + parameters);
     }
+
+    /** Guards against a heap filled by clients that send long lines before their request is answered. */
+    @Test
+    void clientThatSendsTooMuchBeforeItsAnswerIsRejected() {
+        startReducer("s-1");
+        acceptAndOpen(1, "c=read,d=2000");
+        for (int line = 0; line < 4; line++) {
+            receiveFromClient(1, "x".repeat(4_000));
+        }
+        assertThat(fixture.trace.toString()).doesNotContain("ERR");
+        receiveFromClient(1, "x".repeat(4_000));
+        assertThat(fixture.trace.toString()).contains("write 1 ERR");
+    }
 }
