--- a/lab/src/main/java/ambertrestle/lab/loopback/RelayOverheadBenchmark.java
+++ b/lab/src/main/java/ambertrestle/lab/loopback/RelayOverheadBenchmark.java
@@ -6,7 +6,6 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
-import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.parsetools.RecordParser;
@@ -95,18 +94,8 @@
                     .toCompletableFuture()
                     .get(LISTEN_TIMEOUT_SECONDS, TimeUnit.SECONDS)
                     .actualPort();
-            JsonObject roster = new JsonObject()
-                    .put("index", 1)
-                    .put("snapshot", true)
-                    .put(
-                            "endpoints",
-                            new JsonArray()
-                                    .add(RelayConfigurationJson.createRosterEntry(
-                                            "s-1",
-                                            HOST + ":" + backendPort,
-                                            scenario.fleets().get(0),
-                                            "in_service",
-                                            0)));
+            JsonObject roster = RelayConfigurationJson.createRoster(RelayConfigurationJson.createRosterEntry(
+                    "s-1", HOST + ":" + backendPort, scenario.fleets().get(0), "in_service", 0));
             int rosterPort = vertx.createHttpServer()
                     .requestHandler(request -> {
                         HttpServerResponse response = request.response().setChunked(true);
--- a/lab/src/main/java/ambertrestle/lab/scenario/RelayConfigurationJson.java
+++ b/lab/src/main/java/ambertrestle/lab/scenario/RelayConfigurationJson.java
@@ -5,6 +5,7 @@
 import ambertrestle.lab.scenario.Scenario.Workload;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.util.List;
 
 /**
  * Builds the relay configuration (the JSON of `BALANCER_CONFIG`) from a scenario. Relays in the simulation and relay
@@ -37,6 +38,12 @@
                 .put("since_ms", sinceMillis);
     }
 
+    /** A complete roster of version 1, in the JSON form of the roster service. */
+    public static JsonObject createRoster(JsonObject... entries) {
+        return new JsonObject().put("index", 1).put("snapshot", true).put("endpoints", new JsonArray(List.of((Object[])
+                entries)));
+    }
+
     /**
      * The whole configuration of one relay.
      *
