--- a/relay/src/main/java/ambertrestle/relay/wire/InputScheduler.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/InputScheduler.java
@@ -1,6 +1,6 @@
 package ambertrestle.relay.wire;
 
-import io.netty.channel.EventLoop;
+import io.vertx.core.internal.ContextInternal;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
@@ -18,39 +18,48 @@
     /** Lines of all waiting sockets together that are delivered in one iteration of the event loop. */
     private static final int LINES_PER_ITERATION = 4 * LINES_PER_TURN;
 
+    private final ContextInternal context;
     /** Sockets that wait for a turn, each once. */
     private final ArrayDeque<LineSocket> waitingSockets = new ArrayDeque<>();
 
     private boolean isScheduled;
 
+    /** @param context runs the turns; its event loop must be that of the sockets */
+    InputScheduler(ContextInternal context) {
+        this.context = context;
+    }
+
     /** Adds a socket, which must not be waiting already. */
-    void add(LineSocket socket, EventLoop eventLoop) {
+    void add(LineSocket socket) {
         waitingSockets.add(socket);
-        schedule(eventLoop);
+        schedule();
     }
 
     /**
      * Schedules the next turns. A task with a delay runs in the next iteration of the event loop even if the delay is
      * zero; a task without one could run again and again before any socket is read.
      */
-    private void schedule(EventLoop eventLoop) {
+    private void schedule() {
         if (!isScheduled) {
             isScheduled = true;
-            eventLoop.schedule(() -> runTurns(eventLoop), 0, TimeUnit.NANOSECONDS);
+            context.nettyEventLoop().schedule(() -> context.dispatch(v -> runTurns()), 0, TimeUnit.NANOSECONDS);
         }
     }
 
-    private void runTurns(EventLoop eventLoop) {
+    private void runTurns() {
         isScheduled = false;
         int remainingTurns = waitingSockets.size();
         int deliveredLines = 0;
-        while (remainingTurns > 0 && deliveredLines < LINES_PER_ITERATION) {
-            remainingTurns--;
-            // A socket with more lines than a turn adds itself again, behind the others.
-            deliveredLines += waitingSockets.poll().takeTurn();
-        }
-        if (!waitingSockets.isEmpty()) {
-            schedule(eventLoop);
+        try {
+            while (remainingTurns > 0 && deliveredLines < LINES_PER_ITERATION) {
+                remainingTurns--;
+                // A socket with more lines than a turn adds itself again, behind the others.
+                deliveredLines += waitingSockets.poll().takeTurn();
+            }
+        } finally {
+            if (!waitingSockets.isEmpty()) {
+                schedule();
+            }
         }
     }
 }
--- a/relay/src/main/java/ambertrestle/relay/wire/LineSocket.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/LineSocket.java
@@ -127,7 +127,7 @@
         writeBatch.run(() -> deliveredLines[0] = passLines(maxLines));
         if (!isClosing && decoder.hasLine() && !isWaitingForTurn && channel.isOpen()) {
             isWaitingForTurn = true;
-            inputScheduler.add(this, channel.eventLoop());
+            inputScheduler.add(this);
             updateReading();
         }
         return deliveredLines[0];
@@ -190,7 +190,7 @@
         isHeldByLinkedSocket = isHeld;
         if (!isHeld && !isWaitingForTurn && decoder.hasLine() && channel.isOpen()) {
             isWaitingForTurn = true;
-            inputScheduler.add(this, channel.eventLoop());
+            inputScheduler.add(this);
         }
         updateReading();
     }
--- a/relay/src/main/java/ambertrestle/relay/wire/SocketManager.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/SocketManager.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.internal.ContextInternal;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetServer;
@@ -31,7 +32,7 @@
     private final NetClient client;
     private final Consumer<NetworkEvent> eventListener;
     private final ConfiguredNames names;
-    private final InputScheduler inputScheduler = new InputScheduler();
+    private final InputScheduler inputScheduler;
     private final WriteBatch writeBatch = new WriteBatch();
     /** By socket number. */
     private final Map<Long, LineSocket> openSockets = new HashMap<>();
@@ -50,6 +51,7 @@
     public SocketManager(
             Vertx vertx, int connectTimeoutMillis, ConfiguredNames names, Consumer<NetworkEvent> eventListener) {
         this.vertx = vertx;
+        inputScheduler = new InputScheduler((ContextInternal) vertx.getOrCreateContext());
         this.eventListener = eventListener;
         this.names = names;
         server = vertx.createNetServer(new NetServerOptions()
