Count shed and forfeited clients in the turned-away line, by typed reasons

Change: execute() counts SHED and FORFEIT as the other rejections are. RejectionReason has the reasons that stood as strings, with the same texts.

Clients see the same answers.

--- a/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
@@ -96,9 +96,6 @@
      */
     private static final int LEARNED_STATE_PART_SIZE = 1024;
 
-    /** The reason in the log for clients that are turned away because this relay ends. */
-    private static final String SHUTDOWN_REASON = "the relay's shutdown";
-
     private static final byte[] PONG = encodeLine("PONG");
     private static final byte[] ERR = encodeLine("ERR");
     private static final byte[] BUSY = encodeLine("BUSY");
@@ -278,7 +275,7 @@
         awaitingOpen.put(socket, connection);
         if (shutdown.isFinished()) {
             // The process ends in a moment, and what a client sent then would get no answer.
-            reject(connection, SHUTDOWN_REASON, BUSY, now);
+            reject(connection, RejectionReason.SHUTDOWN, BUSY, now);
             return;
         }
         timers.schedule(connection, now + OPEN_TIMEOUT_NANOS);
@@ -296,12 +293,16 @@
         if (awaitingOpen.isEmpty()) {
             return false;
         }
-        reject(awaitingOpen.firstEntry().getValue(), "sending no OPEN line while sockets were short", BUSY, now);
+        reject(awaitingOpen.firstEntry().getValue(), RejectionReason.NO_OPEN_LINE_WHILE_SOCKETS_SHORT, BUSY, now);
         return true;
     }
 
-    /** Counts a rejection under its reason, answers the client and closes the connection. */
-    private void reject(Connection connection, Object reason, byte[] finalLine, long now) {
+    /**
+     * Counts a rejection, answers the client and closes the connection.
+     *
+     * @param reason a {@link RejectionReason} or a {@link ProtocolViolation}
+     */
+    private void reject(Connection connection, Enum<?> reason, byte[] finalLine, long now) {
         rejections.count(reason);
         sendFinalAnswer(connection, finalLine, now);
     }
@@ -400,7 +401,7 @@
             // A dispatch beyond the limit on sockets would fail after the policy had counted it. Shedding is safe here,
             // because nothing has run at a backend yet.
             balancer.onClientDisconnected(association, now);
-            reject(connection, "lack of free sockets", BUSY, now);
+            reject(connection, RejectionReason.NO_FREE_SOCKET, BUSY, now);
         } else {
             execute(connection, balancer.selectBackend(association, now), now);
         }
@@ -476,9 +477,12 @@
                 scheduleDispatchTimeout(connection, Math.min(decision.time, configuration.connectTimeout()), now);
             }
             case WAIT -> timers.schedule(connection, decision.time);
-            case SHED -> sendFinalAnswer(
-                    connection, decision.time > 0 ? encodeLine("BUSY " + decision.time / NANOS_PER_MILLI) : BUSY, now);
-            case FORFEIT -> sendFinalAnswer(connection, ERR, now);
+            case SHED -> reject(
+                    connection,
+                    RejectionReason.SHED,
+                    decision.time > 0 ? encodeLine("BUSY " + decision.time / NANOS_PER_MILLI) : BUSY,
+                    now);
+            case FORFEIT -> reject(connection, RejectionReason.FORFEITED, ERR, now);
             case NOTHING -> {}
         }
     }
@@ -904,7 +908,7 @@
                     deregister(connection);
                     closeSockets(connection, now);
                 } else {
-                    reject(connection, "sending no OPEN line within two seconds", ERR, now);
+                    reject(connection, RejectionReason.NO_OPEN_LINE, ERR, now);
                 }
             }
             case CLOSING -> {
@@ -1011,11 +1015,11 @@
     private void answerWaitingClients(long now) {
         for (Connection connection : clientConnections()) {
             if (connection.state == State.AWAITING_OPEN) {
-                reject(connection, SHUTDOWN_REASON, BUSY, now);
+                reject(connection, RejectionReason.SHUTDOWN, BUSY, now);
             } else if (connection.state == State.DISPATCHING) {
                 boolean isSafeToRetry = !connection.isResumption && connection.association.noDispatchRan();
                 abandonAssociation(connection, now);
-                reject(connection, SHUTDOWN_REASON, isSafeToRetry ? BUSY : ERR, now);
+                reject(connection, RejectionReason.SHUTDOWN, isSafeToRetry ? BUSY : ERR, now);
             }
         }
     }
--- a/relay/src/main/java/ambertrestle/relay/connection/RejectionCounter.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/RejectionCounter.java
@@ -12,8 +12,8 @@
     /** Time of the last log line; the initial value makes the first one due at once without overflow. */
     private long loggedAt = Long.MIN_VALUE / 2;
 
-    /** Counts a rejection; the text of its reason is the result of `toString`. */
-    void count(Object reason) {
+    /** Counts a rejection; the text of its reason, an enumeration's value, is the result of `toString`. */
+    void count(Enum<?> reason) {
         counts.merge(reason.toString(), 1, Integer::sum);
     }
 
