Reset a connection when a write fails, rather than leave lines out of its middle

Cause: the result of a write was looked at by nobody. Netty closes a channel after an I/O error only; after another failure, an OutOfMemoryError in the allocation of the direct buffer, it goes on.

Change: a write that fails for another reason than an I/O error resets its connection, and its lines received before are delivered.

Result: failedWriteEndsTheConnection fails before (time-out, the third line follows the first) and passes.

--- a/relay/src/main/java/ambertrestle/relay/wire/LineSocket.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/LineSocket.java
@@ -9,6 +9,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
+import java.io.IOException;
 
 /**
  * A connected socket that reads and writes lines and reports a half-close, a close and a reset separately. It is
@@ -238,11 +239,25 @@
         Buffer lines = unflushedLines;
         unflushedLines = null;
         lastWrite = socket.write(lines);
+        lastWrite.onFailure(this::onWriteFailed);
         if (socket.writeQueueFull()) {
             holdLinkedSocket(true);
         }
     }
 
+    /**
+     * Resets the connection if lines could not be written for another reason than an I/O error, such as lack of memory.
+     * They would be missing between those before and after them, and the peer would not know. After an I/O error, the
+     * channel closes by itself.
+     */
+    private void onWriteFailed(Throwable failure) {
+        if (!isClosing() && !(failure instanceof IOException)) {
+            isReset = true;
+            onChannelClosed();
+            reset();
+        }
+    }
+
     /** Closes the sending direction after pending writes are flushed. */
     void shutdownOutput() {
         flush();
--- a/relay/src/test/java/ambertrestle/relay/wire/SocketManagerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/wire/SocketManagerTest.java
@@ -1,18 +1,26 @@
 package ambertrestle.relay.wire;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.sun.management.UnixOperatingSystemMXBean;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.vertx.core.Vertx;
+import io.vertx.core.internal.ContextInternal;
+import io.vertx.core.internal.net.NetSocketInternal;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -233,6 +241,72 @@
         }
     }
 
+    /**
+     * Guards against lines that go missing in the middle of a connection that goes on: a write that failed for lack of
+     * memory was looked at by nobody, and the next line was written after it.
+     */
+    @Test
+    void failedWriteEndsTheConnection() throws Exception {
+        CompletableFuture<LineSocket> accepted = new CompletableFuture<>();
+        CompletableFuture<Boolean> closed = new CompletableFuture<>();
+        WriteBatch writeBatch = new WriteBatch();
+        InputScheduler inputScheduler = new InputScheduler((ContextInternal) vertx.getOrCreateContext());
+        int port = vertx.createNetServer()
+                .connectHandler(netSocket -> {
+                    failSecondWrite((NetSocketInternal) netSocket);
+                    accepted.complete(
+                            new LineSocket(netSocket, inputScheduler, writeBatch, new ClosedListener(closed)));
+                })
+                .listen(0, "127.0.0.1")
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(10, TimeUnit.SECONDS)
+                .actualPort();
+        try (Socket peer = new Socket(loopback, port)) {
+            LineSocket socket = accepted.get(10, TimeUnit.SECONDS);
+            vertx.runOnContext(v -> {
+                for (String line : new String[] {"1\r\n", "2\r\n", "3\r\n"}) {
+                    socket.write(bytes(line));
+                }
+            });
+            assertThat(closed.get(10, TimeUnit.SECONDS)).isTrue();
+            assertThat(peer.getInputStream().readNBytes(3)).isEqualTo(bytes("1\r\n"));
+            assertThatThrownBy(() -> peer.getInputStream().read()).isInstanceOf(SocketException.class);
+        }
+    }
+
+    private static void failSecondWrite(NetSocketInternal socket) {
+        socket.channelHandlerContext().pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+            private int writes;
+
+            @Override
+            public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                if (++writes == 2) {
+                    promise.setFailure(new OutOfMemoryError("injected"));
+                } else {
+                    context.write(message, promise);
+                }
+            }
+        });
+    }
+
+    /** Records how the socket closed. */
+    private record ClosedListener(CompletableFuture<Boolean> closed) implements LineSocket.Listener {
+        @Override
+        public void onLine(byte[] raw) {}
+
+        @Override
+        public void onFramingError() {}
+
+        @Override
+        public void onInputShutdown() {}
+
+        @Override
+        public void onClosed(boolean reset) {
+            closed.complete(reset);
+        }
+    }
+
     /** Without the event, a dispatch to a backend that refuses connections, or has a malformed address, never ends. */
     @Test
     void reportsResetForRefusedConnectionAndInvalidAddress() throws Exception {
