--- a/relay/src/main/java/ambertrestle/relay/wire/LineSocket.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/LineSocket.java
@@ -85,9 +85,8 @@
                 listener.onInputShutdown();
             }
         });
-        // The channel closes after an I/O error, but its close handler runs in a later turn of the event loop. Until
-        // then
-        // the reducer would dispatch requests of a client that is gone.
+        // After an I/O error the channel closes, but its close handler runs in a later turn of the event loop. Until
+        // then, the reducer would dispatch requests of a client that is gone.
         socket.exceptionHandler(e -> {
             isReset = true;
             onChannelClosed();
@@ -169,9 +168,7 @@
         if (!isClosing && decoder.hasLine()) {
             deliverLines(Integer.MAX_VALUE);
         }
-        // Without this, a linked socket that is paused would never be read again once this socket is closed, and its
-        // own
-        // close would go undetected.
+        // Without this, a linked socket that is paused would never be read again, and its close would go undetected.
         holdLinkedSocket(false);
         listener.onClosed(isReset);
     }
