Start the lab's relays on ports that no outgoing connection takes

Cause: RelayLauncher.findFreePort took a port from the range of outgoing connections and gave it back until the relay listened; a connection of any process may have it by then. The relay ended with code 1, and nothing told the run.

Change: the ports lie below that range, other ones for each process. Runs that can't begin fail with their reason; a time-out names the state and last log line of each relay.

--- a/lab/src/main/java/ambertrestle/lab/loopback/LoopbackTestbed.java
+++ b/lab/src/main/java/ambertrestle/lab/loopback/LoopbackTestbed.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.IntPredicate;
+import java.util.stream.Collectors;
 
 /**
  * Runs a scenario in real time on loopback sockets. The relays are processes of the packaged daemon; clients, backends
@@ -58,6 +59,9 @@
     /** Largest resident memory of any relay so far, sampled once per second. */
     private long maxResidentKilobytes;
 
+    /** All relays were ready, and the run's time began. */
+    private boolean hasBegun;
+
     private LoopbackTestbed(
             Scenario scenario,
             long seed,
@@ -119,7 +123,7 @@
             loop.runOnContext(v -> startServersAndRelays(continueAfterSecond));
             return completion.get(scenario.endTime() / NANOS_PER_SECOND + 2 * START_TIMEOUT_SECONDS, TimeUnit.SECONDS);
         } catch (ExecutionException | TimeoutException e) {
-            throw new IOException("the run on sockets failed: " + e, e);
+            throw new IOException("the run on sockets failed: " + e + "; " + describeRelays(), e);
         } finally {
             // The relays are killed on the event loop, which marks them as killed before it handles the closing of
             // their connections. Otherwise those connections would count as broken by the relays.
@@ -136,6 +140,11 @@
         }
     }
 
+    /** Which relays run, and the end of each one's log, to tell why a run did not get to its end. */
+    private String describeRelays() {
+        return relays.stream().map(RelayProcess::describe).collect(Collectors.joining("; "));
+    }
+
     /** Starts the servers, then the relays; the run's time begins when the last relay is ready. */
     private void startServersAndRelays(IntPredicate continueAfterSecond) {
         List<Future<?>> pendingListens = new ArrayList<>();
@@ -149,6 +158,7 @@
                 relay.start(() -> {
                     addRelay(relay);
                     if (++readyRelays[0] == relays.size()) {
+                        hasBegun = true;
                         eventLoopClock.start();
                         scheduleArrivalsAndFaults();
                         scheduleSample(1, continueAfterSecond);
@@ -225,12 +235,15 @@
     }
 
     /**
-     * Records that a relay never answered PING.
+     * Records that a relay never answered PING. The run can't begin without one of the first relays, so it fails.
      *
      * @param alive false if its process ended by itself, true if it was killed or replaced while it was starting
      */
     void onRelayStartFailed(RelayProcess relay, boolean alive) {
         failedStarts.add(relay.name + (alive ? " was given up" : " ended by itself"));
+        if (!hasBegun) {
+            completion.completeExceptionally(new IOException(relay.name + " did not start"));
+        }
     }
 
     /** Whether this process got too little CPU for the run's figures to be meaningful. */
--- a/lab/src/main/java/ambertrestle/lab/loopback/RelayLauncher.java
+++ b/lab/src/main/java/ambertrestle/lab/loopback/RelayLauncher.java
@@ -1,12 +1,14 @@
 package ambertrestle.lab.loopback;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Starts the relay daemon from its packaged jar on loopback. Of this process's environment the relay inherits no
@@ -16,6 +18,13 @@
     /** The address that all servers of the lab listen on. */
     static final String HOST = "127.0.0.1";
 
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORT_COUNT = 10_000;
+    private static final int PORTS_PER_PROCESS = 37;
+    /** Processes that run at once start at different ports. */
+    private static final AtomicInteger NEXT_PORT_OFFSET =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * PORTS_PER_PROCESS % PORT_COUNT));
+
     private RelayLauncher() {}
 
     /** Starts a relay without an operator file. */
@@ -57,10 +66,19 @@
                 .start();
     }
 
-    /** A port on which nothing listens now. Another process may take it before the caller does. */
+    /**
+     * A port on which nothing listens now. It lies below the range from which Linux takes the ports of outgoing
+     * connections: one of those, in the time until the relay listens, would keep the relay from starting.
+     */
     static int findFreePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-            return socket.getLocalPort();
+        for (int attempt = 0; attempt < PORT_COUNT; attempt++) {
+            int port = FIRST_PORT + Math.floorMod(NEXT_PORT_OFFSET.getAndIncrement(), PORT_COUNT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // The port is in use; the next one may be free.
+            }
         }
+        throw new IOException("no port from " + FIRST_PORT + " on is free");
     }
 }
--- a/lab/src/main/java/ambertrestle/lab/loopback/RelayProcess.java
+++ b/lab/src/main/java/ambertrestle/lab/loopback/RelayProcess.java
@@ -12,6 +12,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -93,7 +94,7 @@
                     jar,
                     configurationFile,
                     testbed.scenario.relays().persistsState() ? writeOperatorFile() : null,
-                    workingDirectory.resolve(name + ".log"));
+                    logFile());
             if (incarnation > 1) {
                 recordRestart();
             }
@@ -212,6 +213,23 @@
         }
     }
 
+    /** Whether the relay runs, and the last line of its log. */
+    String describe() {
+        String lastLine;
+        try {
+            List<String> lines = Files.readAllLines(logFile());
+            lastLine = lines.isEmpty() ? "its log is empty" : lines.get(lines.size() - 1);
+        } catch (IOException e) {
+            lastLine = "its log can't be read: " + e;
+        }
+        boolean isAlive = process != null && process.isAlive();
+        return name + (isAlive ? " is alive" : " ended") + (running ? " and ready, " : " and not ready, ") + lastLine;
+    }
+
+    private Path logFile() {
+        return workingDirectory.resolve(name + ".log");
+    }
+
     // Connections of clients
 
     @Override
