--- a/lab/src/main/java/ambertrestle/lab/loopback/RelayLauncher.java
+++ b/lab/src/main/java/ambertrestle/lab/loopback/RelayLauncher.java
@@ -39,14 +39,17 @@
      * @param configuration the relay configuration (JSON)
      * @param operatorFile the operator file (TOML), or null for none
      * @param log file to which standard output and standard error are appended
+     * @param jvmOptions further options of the JVM; they take precedence over the lab's own
      */
-    static Process start(Path jar, Path configuration, Path operatorFile, Path log) throws IOException {
+    static Process start(Path jar, Path configuration, Path operatorFile, Path log, String... jvmOptions)
+            throws IOException {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
                 "-Xmx256m",
                 "-Dvertx.disableDnsResolver=true"));
+        command.addAll(List.of(jvmOptions));
         // Uses the class data sharing archive beside the jar, as the deployed relay does. An archive that is older than
         // the jar was made for other classes and is ignored.
         Path classDataArchive = jar.resolveSibling("ambertrestle.jsa");
--- a/lab/src/test/java/ambertrestle/lab/loopback/HostileClientsTest.java
+++ b/lab/src/test/java/ambertrestle/lab/loopback/HostileClientsTest.java
@@ -71,20 +71,7 @@
                 dir.resolve("relay.json"),
                 RelayConfigurationJson.create(scenario, "n", RelayLauncher.HOST + ":" + port, rosterAddress, 7, roster)
                         .encode());
-        ProcessBuilder builder = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-Xmx16m",
-                "-Dvertx.disableDnsResolver=true",
-                "-jar",
-                JAR.toString(),
-                "serve");
-        builder.environment().keySet().removeIf(variable -> variable.startsWith("BALANCER_"));
-        builder.environment().put("BALANCER_CONFIG", configuration.toString());
-        relay = builder.redirectErrorStream(true)
-                .redirectOutput(dir.resolve("log").toFile())
-                .start();
+        relay = RelayLauncher.start(JAR, configuration, null, dir.resolve("log"), "-Xmx16m");
         for (int attempt = 0;
                 attempt < 100 && !Files.readString(dir.resolve("log")).contains(" serves");
                 attempt++) {
