Do not wait at a stop for clients that left before their OPEN line

Cause: a relay that a client has pinged and left ends 30 s after SIGTERM instead of 0.7 s. Since Reducer.handOverConnections waits until awaitingOpen is empty, but Reducer.onClientLeft took a connection out of it only in states DISPATCHING and OPEN. A client that left in AWAITING_OPEN stayed there for good. Seen on a process (three PING, SIGTERM: exit 143 after 30.04 s, the limit of RelayServer.stop); ruled out: open connections, there were none.

Change: onClientLeft takes the connection out of all registers, whatever its state.

ReducerTest.shutdownDoesNotWaitForClientsThatLeftBeforeOpen fails with the old Reducer and passes with the new one.

--- a/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
@@ -434,8 +434,8 @@
 
     /** Ends a connection whose client is gone or is treated as gone: it gets no answer, and its sockets are closed. */
     private void onClientLeft(Connection connection, long now) {
+        deregister(connection);
         if (connection.state == State.DISPATCHING || connection.state == State.OPEN) {
-            deregister(connection);
             abandonAssociation(connection, now);
         }
         closeSockets(connection, now);
--- a/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
@@ -667,6 +667,21 @@
         fixture.assertTraceMatches("stop-waiting");
     }
 
+    /** Guards against a relay that ends 30 s late because it waits for clients that left without an OPEN line. */
+    @Test
+    void shutdownDoesNotWaitForClientsThatLeftBeforeOpen() {
+        startReducer("s-1");
+        applyNetworkEvent("client 1 connects", new NetworkEvent.ClientAccepted(1));
+        receiveFromClient(1, "PING");
+        applyNetworkEvent("client 1 ends its output", new NetworkEvent.InputShutdown(1));
+        closeSocket(1, false);
+        applyNetworkEvent("client 2 connects", new NetworkEvent.ClientAccepted(2));
+        closeSocket(2, true);
+        apply("told to stop", new Event.ShutdownRequested());
+        fireTimerAt(501);
+        assertThat(fixture.trace.toString()).endsWith("             stop" + System.lineSeparator());
+    }
+
     /**
      * Guards against short connections that use up all descriptors: the client ends its output, the backend follows,
      * and both sockets stayed open for ten seconds more.
