Give the lookup table and the schedule of roster calls classes of their own

The walk marks backends in a field of its own, which it shared with roster updates before. No change of behaviour.

--- a/core/src/main/java/ambertrestle/decide/Backend.java
+++ b/core/src/main/java/ambertrestle/decide/Backend.java
@@ -102,8 +102,10 @@
     /** When connections were last asked to move because of the load here. */
     long lastOffloadAt = LONG_AGO;
 
-    /** Number of the balancer's pass that last visited this backend. */
+    /** Number of the last roster update that listed this backend. */
     int visitMark;
+    /** Number of the last walk of the lookup table that reached this backend. */
+    int walkMark;
     /** Number of the last selection that found an open connection of its key here. */
     int holdsKeyMark;
 
--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -56,11 +56,6 @@
     private static final long SECOND = 1_000 * MILLISECOND;
     /** Smallest divisor of a share; avoids division by zero while no backend is ready. */
     private static final double MIN_DIVISOR = 1e-9;
-    /**
-     * Slots of the lookup table. The number is prime, so that every skip reaches all slots. Weighted turns keep each
-     * backend's share exact to one slot.
-     */
-    private static final int LOOKUP_TABLE_SIZE = 4093;
     /** Entries of the tracking table. Beyond this number the least recently used entry is evicted. */
     private static final int MAX_TRACKING_ENTRIES = 1 << 16;
     /** Shortest time from the end of a key's last connection until its tracking entry is removed. */
@@ -69,19 +64,6 @@
     private static final long PURGE_INTERVAL = TRACKING_ENTRY_LIFETIME / 4;
     /** Unless it is set, the time after a roster change within which the relay must know of it. */
     private static final double DEFAULT_ROSTER_CALL_DEADLINE = 16.0 * SECOND;
-    /** Time per relay over which the roster calls of all relays are spread, before any backoff. */
-    private static final int ROSTER_CALL_SPREAD_MILLIS = 50;
-    /** Longest time over which roster calls are spread. */
-    private static final long MAX_ROSTER_CALL_RANGE = 8 * SECOND;
-    /** The same with a pushed roster. */
-    private static final long MAX_PUSHED_ROSTER_CALL_RANGE = SECOND / 4;
-    /** Number of times that the backoff of roster calls doubles. */
-    private static final int MAX_ROSTER_CALL_DOUBLINGS = 4;
-    /**
-     * Longest delay of the first roster call after a failure. If a watch falls silent, the relay must know of a change
-     * that it missed after 6 s, and 3.2 s of these pass before the silence is detected.
-     */
-    private static final long MAX_FIRST_ROSTER_RETRY_DELAY = 2_300 * MILLISECOND;
     /** First wait of an association for an eligible backend; each further wait is twice as long. */
     private static final long MIN_WAIT = 50 * MILLISECOND;
     /** Number of times that an association's wait doubles. */
@@ -172,16 +154,8 @@
     private final SplittableRandom random;
     /** Every backend that the roster ever listed or that had an adopted connection or a delay report. */
     private final HashMap<Long, Backend> backendsById = new HashMap<>();
-    /** Ready and draining backends, sorted by unsigned id: the members of the lookup table. */
-    private Backend[] tableMembers = new Backend[0];
-    /** Maglev lookup table; empty if it has no members. */
-    private Backend[] lookupTable = new Backend[0];
-    /** Distinct backends in the order in which the walk from the current key's slot reached them. */
-    private Backend[] preferenceOrder = new Backend[0];
-    /** Number of backends that the current walk has put into {@link #preferenceOrder}. */
-    private int preferenceCount;
-    /** Slot at which the current walk goes on, not reduced modulo the table's size. */
-    private int nextTableSlot;
+    /** The Maglev lookup table; its members are the ready and draining backends. */
+    private final LookupTable lookupTable = new LookupTable();
     /** Tracking entries by placement key or pin key, in order of last access. */
     private final LinkedHashMap<Long, TrackingEntry> trackingTable = new LinkedHashMap<>(256, 0.75f, true);
     /** When unused tracking entries are next removed. */
@@ -209,12 +183,8 @@
     private final boolean isDelayUnobserved;
     /** A ready backend that the roster calls gone is only removed once set-ups fail there too. */
     private final boolean removalNeedsConfirmation;
-    /** A local agent pushes the roster, so that no call is needed at start. */
-    private final boolean isRosterPushed;
     /** Time for which a draining backend may get dispatches, from when this relay learned of the drain. */
     private final long drainGracePeriod;
-    /** Time after a roster change within which this relay must know of it. */
-    private final long rosterCallDeadline;
     /** Age at which a backend is warm. */
     private final long slowStartDuration;
     /** Time over which unused slow start budget accumulates. */
@@ -236,10 +206,8 @@
     /** Number of load reports that {@link #typicalLoad} is based on. */
     private int loadReportCount;
 
-    /** When to call the roster service; {@code Long.MAX_VALUE} if no call is due. */
-    private long nextWatchAt;
-    /** Consecutive failed roster calls; determines the backoff. */
-    private int rosterCallFailures;
+    /** When to call the roster service. */
+    private final RosterCallSchedule rosterCalls;
     /** Time of the next rebalancing pass, at most one per second. */
     private long nextRebalanceAt;
     /** Index of the table member at which the next rebalancing pass starts. */
@@ -323,10 +291,6 @@
         slowStartBudgetWindow = (long) Settings.getDouble(settings, "rules.fall");
         usesRosterWeights = List.of("nominal", "rough")
                 .contains(Settings.getString(settings, "weights", "nominal", "rough", "none", "live"));
-        isRosterPushed = Settings.getString(settings, "discovery", "pushed", "on_request")
-                .equals("pushed");
-        rosterCallDeadline =
-                (long) Settings.getDoubleOrDefault(settings, "rules.askWithin", DEFAULT_ROSTER_CALL_DEADLINE);
         boolean sendsRetryAfter = Boolean.parseBoolean(settings.get("limits.retryAfter"));
         shedRetryAfter = sendsRetryAfter ? (long) Settings.getDouble(settings, "limits.maxRetryAfter") : 0;
         for (double goal : Settings.getDoubles(settings, "familyInfo.messageAim")) {
@@ -338,11 +302,14 @@
         observedSince = now;
         completedConnectionsUpdatedAt = now;
         nextPurgeAt = now + TRACKING_ENTRY_LIFETIME;
-        // Without this jitter, relays that start together would call the roster service at the same time, and calls
-        // that wait there too long fail.
-        nextWatchAt = isRosterPushed
-                ? Long.MAX_VALUE
-                : now + new SplittableRandom(seed + 1).nextLong(rosterCallDelayRange(0));
+        boolean isRosterPushed = Settings.getString(settings, "discovery", "pushed", "on_request")
+                .equals("pushed");
+        rosterCalls = new RosterCallSchedule(relayCount, isRosterPushed, (long)
+                Settings.getDoubleOrDefault(settings, "rules.askWithin", DEFAULT_ROSTER_CALL_DEADLINE));
+        // With a pushed roster no call is needed at the start.
+        if (!isRosterPushed) {
+            rosterCalls.scheduleFirstCall(new SplittableRandom(seed + 1), now);
+        }
     }
 
     // ---- decisions
@@ -413,8 +380,7 @@
     public DueActions pollDueActions(long now) {
         DueActions due = pendingActions;
         pendingActions = new DueActions();
-        if (now >= nextWatchAt) {
-            nextWatchAt = Long.MAX_VALUE;
+        if (rosterCalls.pollDue(now)) {
             due.rosterCall = DueActions.RosterCall.WATCH;
         }
         if (now >= nextPurgeAt) {
@@ -425,7 +391,7 @@
                             && changeTracker.markRemoved(entry));
             nextPurgeAt = now + PURGE_INTERVAL;
         }
-        due.wakeAt = Math.min(nextPurgeAt, nextWatchAt);
+        due.wakeAt = Math.min(nextPurgeAt, rosterCalls.nextCallAt());
         if (isDelayUnobserved && now < slowStartsEndAt + REBALANCE_AFTER_SLOW_START && isSampleTooSmall()) {
             if (now >= nextRebalanceAt) {
                 rebalance(due, now);
@@ -439,7 +405,7 @@
 
     @Override
     public void onRosterUpdate(List<RosterEntry> entries, boolean isComplete, boolean isCached, long now) {
-        rosterCallFailures = 0;
+        rosterCalls.onCallSucceeded();
         currentMark++;
         staleRosterSince = isCached ? staleRosterSince : 0;
         boolean isTableChanged = false;
@@ -449,7 +415,7 @@
             isTableChanged |= applyRosterEntry(backend, entry, now);
         }
         if (isComplete) {
-            for (Backend backend : tableMembers) {
+            for (Backend backend : lookupTable.members()) {
                 if (backend.visitMark != currentMark) {
                     isTableChanged |= applyRosterEntry(
                             backend,
@@ -459,45 +425,22 @@
             }
         }
         if (isTableChanged) {
-            rebuildTableMembers();
+            rebuildLookupTable();
         }
         recomputeTotals(now);
     }
 
     /** Collects the members of the lookup table from all known backends and refills the table. */
-    private void rebuildTableMembers() {
-        tableMembers = backendsById.values().stream()
-                .filter(b -> b.stage != Stage.GONE)
-                .toArray(Backend[]::new);
-        Arrays.sort(tableMembers, (x, y) -> Long.compareUnsigned(x.id, y.id));
-        fillLookupTable();
+    private void rebuildLookupTable() {
+        lookupTable.rebuild(backendsById.values().stream()
+                .filter(backend -> backend.stage != Stage.GONE)
+                .toList());
     }
 
     @Override
     public void onRosterCallFailed(long now) {
         logRateLimited("roster call failed, asking again", now);
-        // Exponential backoff with jitter, at most 16 times the first range. Relays that retry in step would overload
-        // the service, and all of them would fail again.
-        long delayRange = rosterCallDelayRange(Math.min(rosterCallFailures, MAX_ROSTER_CALL_DOUBLINGS));
-        // The first retry comes early. After a watch has fallen silent, the relay would otherwise learn of the changes
-        // that it missed only after the deadline for knowing them.
-        nextWatchAt = now
-                + (rosterCallFailures++ == 0
-                        ? random.nextLong(Math.min(delayRange, MAX_FIRST_ROSTER_RETRY_DELAY))
-                        : delayRange / 2 + random.nextLong(delayRange));
-    }
-
-    /**
-     * Returns the time in nanoseconds over which the roster calls of all relays are spread: 50 ms for each relay,
-     * doubled {@code doublings} times. It is limited to half of {@link #rosterCallDeadline}, so that a call is made in
-     * time, and with a pushed roster to 250 ms.
-     */
-    private long rosterCallDelayRange(int doublings) {
-        // With a pushed roster, the relay is expected to know what the local agent knows, even while its watch is
-        // broken. The watch must therefore be opened again soon.
-        long maxRange =
-                Math.min(isRosterPushed ? MAX_PUSHED_ROSTER_CALL_RANGE : MAX_ROSTER_CALL_RANGE, rosterCallDeadline / 2);
-        return Math.max(1, Math.min(maxRange, relayCount * ROSTER_CALL_SPREAD_MILLIS * MILLISECOND << doublings));
+        rosterCalls.onCallFailed(random, now);
     }
 
     @Override
@@ -519,7 +462,11 @@
                 loadReportCount,
                 setUpInterval);
         return changeTracker.takeChanges(
-                maxChanges, tableFormat(), relayStatistics, backendsById.values(), trackingTable.values());
+                maxChanges,
+                LookupTable.format(usesRosterWeights),
+                relayStatistics,
+                backendsById.values(),
+                trackingTable.values());
     }
 
     @Override
@@ -549,7 +496,7 @@
             // from another table format are dropped, as the table assigns their keys to other backends.
             boolean isListed = backend != null && backend.stage != Stage.GONE;
             if (isListed
-                    && learnedState.tableFormat() == tableFormat()
+                    && learnedState.tableFormat() == LookupTable.format(usesRosterWeights)
                     && trackingTable.size() < MAX_TRACKING_ENTRIES) {
                 TrackingEntry entry = trackingTable.computeIfAbsent(pin.key(), TrackingEntry::new);
                 entry.pinnedBackend = backend;
@@ -564,11 +511,6 @@
         recomputeTotals(now);
     }
 
-    /** Returns a value that identifies the lookup table's layout; pins are only valid with an equal one. */
-    private long tableFormat() {
-        return Backend.mix64(LOOKUP_TABLE_SIZE * 2 + (usesRosterWeights ? 1 : 0));
-    }
-
     @Override
     public void onConnectionEstablished(Association association, int dispatch, long setUpTime, long now) {
         if (dispatch >= association.dispatchCount || association.established) {
@@ -713,7 +655,7 @@
         // Each backend that holds any connection of a group has a cost for that group, so that a large group on all
         // backends would overload all of them. The limit is the number of backends that the group fills plus two; while
         // more than a third of the backends are slow, it is that number, rounded down, plus one.
-        double subsetSize = association.groupKey == 0 ? tableMembers.length : subsetSize(entry, slowShare);
+        double subsetSize = association.groupKey == 0 ? lookupTable.members().length : subsetSize(entry, slowShare);
         int backendLimit = slowShare * MANY_SLOW_ONE_IN > 1 ? 1 + (int) subsetSize : 2 + (int) Math.round(subsetSize);
         int holderCount = 0;
         int holderMark = ++currentMark;
@@ -744,10 +686,11 @@
                 || totalConnections > MANY_CONNECTIONS_PER_BACKEND * effectiveBackendCount
                 || totalConnections * IDLE_SAMPLE_SIZE_DIVISOR > relayCount * effectiveBackendCount;
         for (int i = 0, readySeen = 0;
-                i < tableMembers.length && (searchesAllBackends || readySeen <= backendLimit);
+                i < lookupTable.members().length && (searchesAllBackends || readySeen <= backendLimit);
                 i++) {
             // Starts at the client's assigned backend, goes round the subset, and then on along the preference order.
-            Backend backend = preferredBackend(i < subsetLength ? (association.subsetIndex + i) % subsetLength : i);
+            Backend backend =
+                    lookupTable.preferred(i < subsetLength ? (association.subsetIndex + i) % subsetLength : i);
             boolean isLikelyHolder = isAlreadyOpen && i == 0;
             readySeen += backend != null && backend.stage == Stage.READY ? 1 : 0;
             // A backend whose delay exceeds the goal is not eligible, not even as a fallback. If the whole fleet is
@@ -814,30 +757,9 @@
         return (double) relayCount * relayCount / (relayCount * relayCount + PAIR_VISIBILITY_SCALE);
     }
 
-    /** Starts the walk of the lookup table at the slot of the association's key, or of its id if it has no key. */
+    /** Starts the preference order of the association's key, or of its id if it has no key. */
     private void startPreferenceOrder(Association association) {
-        nextTableSlot = (int) Long.remainderUnsigned(
-                Backend.mix64(association.placementKey() != 0 ? association.placementKey() : association.id),
-                LOOKUP_TABLE_SIZE);
-        preferenceCount = 0;
-        currentMark++;
-    }
-
-    /**
-     * Returns the backend at this rank of the order that {@link #startPreferenceOrder} began, walking the table as far
-     * as needed; null if the order is shorter.
-     */
-    private Backend preferredBackend(int rank) {
-        for (int end = nextTableSlot + LOOKUP_TABLE_SIZE;
-                preferenceCount <= rank && nextTableSlot < end && lookupTable.length > 0;
-                nextTableSlot++) {
-            Backend backend = lookupTable[nextTableSlot % LOOKUP_TABLE_SIZE];
-            if (backend.visitMark != currentMark) {
-                backend.visitMark = currentMark;
-                preferenceOrder[preferenceCount++] = backend;
-            }
-        }
-        return rank < preferenceCount ? preferenceOrder[rank] : null;
+        lookupTable.startWalk(association.placementKey() != 0 ? association.placementKey() : association.id);
     }
 
     /**
@@ -858,9 +780,9 @@
         // The slow start factors in the subset add up to at least one warm backend. The clients of a group may arrive
         // all at once and would overload a subset of few cold backends.
         for (double remainingCapacity = subsetSize;
-                (remainingCapacity > SUBSET_TOLERANCE || warmBackends < 1) && preferredBackend(rank) != null;
+                (remainingCapacity > SUBSET_TOLERANCE || warmBackends < 1) && lookupTable.preferred(rank) != null;
                 rank++) {
-            Backend backend = preferredBackend(rank);
+            Backend backend = lookupTable.preferred(rank);
             // Draining backends don't count. Their clients would otherwise be spread over the next backends in the
             // order, without regard to which of these are cold.
             if (backend.stage == Stage.READY || association.isMidFlow) {
@@ -904,9 +826,9 @@
     private void rebalance(DueActions due, long now) {
         nextRebalanceAt = now + SECOND;
         recomputeTotals(now);
-        for (int i = 0, examined = 0; i < tableMembers.length && examined < MAX_REBALANCE_CANDIDATES; i++) {
-            Backend backend = tableMembers[rebalanceIndex % tableMembers.length];
-            rebalanceIndex = (rebalanceIndex + 1) % tableMembers.length;
+        for (int i = 0, examined = 0; i < lookupTable.members().length && examined < MAX_REBALANCE_CANDIDATES; i++) {
+            Backend backend = lookupTable.members()[rebalanceIndex % lookupTable.members().length];
+            rebalanceIndex = (rebalanceIndex + 1) % lookupTable.members().length;
             examined += backend.openConnections.size();
             for (Association association :
                     backend.stage == Stage.READY ? backend.openConnections : List.<Association>of()) {
@@ -926,7 +848,7 @@
         startPreferenceOrder(association);
         int previousIndex = association.subsetIndex;
         assignSubsetIndex(association, subsetSize(trackingTable.get(association.placementKey()), 0), now);
-        Backend assigned = preferredBackend(association.subsetIndex);
+        Backend assigned = lookupTable.preferred(association.subsetIndex);
         association.subsetIndex = previousIndex;
         return assigned != null
                 && assigned.stage == Stage.READY
@@ -979,7 +901,7 @@
     private void recomputeTotals(long now) {
         effectiveWeightSum = rosterWeightSum = effectiveBackendCount = totalLoad = totalConnections = readyBackends = 0;
         totalsUpdatedAt = now;
-        for (Backend backend : tableMembers) {
+        for (Backend backend : lookupTable.members()) {
             if (backend.stage == Stage.READY) {
                 readyBackends++;
                 effectiveWeightSum += backend.weight * slowStartFactor(backend, now);
@@ -1096,7 +1018,7 @@
                     backend,
                     new RosterEntry(backend.id, Stage.GONE, 0, backend.cell, backend.weight, backend.zone, 0),
                     now);
-            rebuildTableMembers();
+            rebuildLookupTable();
             recomputeTotals(now);
         }
         switch (outcome) {
@@ -1225,7 +1147,7 @@
         double observedTime = Math.min(now - observedSince, COMPLETION_RATE_WINDOW) + SECOND;
         // While delay is reported and few backends are slow, a warm backend can sustain a multiple of the rate that is
         // observed.
-        int headroom = !isDelayReported || slowBackends.size() * HEADROOM_SLOW_ONE_IN > tableMembers.length
+        int headroom = !isDelayReported || slowBackends.size() * HEADROOM_SLOW_ONE_IN > lookupTable.members().length
                 ? 1
                 : WARM_HEADROOM;
         // With a stale roster all backends count as cold. Dividing by the sum of effective weights would then cancel
@@ -1392,35 +1314,4 @@
                         : backend.startedAt + slowStartDuration + slowStartDuration / SLOW_START_MARGIN_DIVISOR);
         return isTableChanged;
     }
-
-    /**
-     * Fills the lookup table by Maglev hashing. The members take turns in the order of their ids, a member of lower
-     * weight fewer of them. In its turn a member takes the next free slot of its own sequence, which starts at its own
-     * offset and advances by its own skip.
-     */
-    private void fillLookupTable() {
-        preferenceOrder = new Backend[tableMembers.length];
-        lookupTable = new Backend[tableMembers.length == 0 ? 0 : LOOKUP_TABLE_SIZE];
-        int memberCount = tableMembers.length;
-        int[] nextSlot = new int[memberCount];
-        double[] credit = new double[memberCount];
-        double maxWeight =
-                Arrays.stream(tableMembers).mapToDouble(b -> b.weight).max().orElse(0);
-        for (int i = 0; i < memberCount; i++) {
-            nextSlot[i] = (int) Long.remainderUnsigned(tableMembers[i].hash, LOOKUP_TABLE_SIZE);
-        }
-        for (int filled = 0, i = 0; memberCount > 0 && filled < LOOKUP_TABLE_SIZE; i = (i + 1) % memberCount) {
-            credit[i] += tableMembers[i].weight / maxWeight;
-            if (credit[i] < 1) {
-                continue;
-            }
-            credit[i]--;
-            int skip = (int) Long.remainderUnsigned(Backend.mix64(tableMembers[i].hash), LOOKUP_TABLE_SIZE - 1) + 1;
-            while (lookupTable[nextSlot[i]] != null) {
-                nextSlot[i] = (nextSlot[i] + skip) % LOOKUP_TABLE_SIZE;
-            }
-            lookupTable[nextSlot[i]] = tableMembers[i];
-            filled++;
-        }
-    }
 }
