Share the start of a relay process between tests, and name the step that failed

Change: RelayProcessFixture has what both classes need; a usual client that isn't served names its number, the step and the time. Bounds, clients and lines are as before.

--- a/lab/src/test/java/ambertrestle/lab/loopback/HostileClientsTest.java
+++ b/lab/src/test/java/ambertrestle/lab/loopback/HostileClientsTest.java
@@ -2,87 +2,47 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import ambertrestle.lab.scenario.RelayConfigurationJson;
-import ambertrestle.lab.scenario.Scenario;
-import ambertrestle.relay.toml.TomlDocument;
-import io.vertx.core.json.JsonObject;
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 
 /**
  * A relay process with the heap of a small deployment serves usual clients beside hostile ones. Each usual client must
  * be accepted, and each of its lines answered within a second.
  */
-class HostileClientsTest {
-    private static final Path JAR = Path.of(System.getProperty(
-            "relay.jar", Path.of("..", "relay", "target", "ambertrestle.jar").toString()));
+class HostileClientsTest extends RelayProcessFixture {
     private static final int USUAL_CLIENTS = 60;
     private static final int LINES = 5;
     private static final String USUAL_LINE = "line";
     private static final int LINE_LIMIT_MILLIS = 1_000;
     private static final int MAX_LINE_BYTES = 4_096;
 
-    @TempDir
-    private Path dir;
-
-    private final ExecutorService threads = Executors.newCachedThreadPool();
     private final AtomicInteger nextId = new AtomicInteger();
     private final List<Socket> hostileSockets = new ArrayList<>();
-    private int port;
-    private Process relay;
     private ServerSocket backend;
 
     @BeforeEach
-    void startRelay() throws Exception {
+    void startRelayWithSmallHeap() throws Exception {
         backend = new ServerSocket(0, 1_000, InetAddress.getByName(RelayLauncher.HOST));
         threads.submit(this::acceptAtBackend);
-        port = RelayLauncher.findFreePort();
-        Scenario scenario = Scenario.read(TomlDocument.parse(
-                "hostile.toml",
-                "name = \"hostile\"\n[relays]\ncount = 1\n[[fleet]]\nname = \"s\"\ncount = 1\n"
-                        + "[[use-case]]\nname = \"view\"\n"));
-        JsonObject roster = RelayConfigurationJson.createRoster(RelayConfigurationJson.createRosterEntry(
-                "s-0",
-                RelayLauncher.HOST + ":" + backend.getLocalPort(),
-                scenario.fleets().get(0),
-                "in_service",
-                0));
         // No roster service listens at this address; the relay goes on with the roster that it starts with.
         String rosterAddress = RelayLauncher.HOST + ":" + RelayLauncher.findFreePort();
-        Path configuration = Files.writeString(
-                dir.resolve("relay.json"),
-                RelayConfigurationJson.create(scenario, "n", RelayLauncher.HOST + ":" + port, rosterAddress, 7, roster)
-                        .encode());
-        relay = RelayLauncher.start(JAR, configuration, null, dir.resolve("log"), "-Xmx16m");
-        for (int attempt = 0;
-                attempt < 100 && !Files.readString(dir.resolve("log")).contains(" serves");
-                attempt++) {
-            Thread.sleep(100);
-        }
+        startRelay(rosterAddress, settings -> {}, "-Xmx16m", RelayLauncher.HOST + ":" + backend.getLocalPort());
     }
 
     @AfterEach
-    void stop() throws Exception {
-        relay.destroyForcibly().waitFor();
-        threads.shutdownNow();
+    void closeSockets() throws Exception {
         backend.close();
         for (Socket socket : hostileSockets) {
             socket.close();
@@ -107,20 +67,6 @@
         }
     }
 
-    private static BufferedReader reader(Socket socket) throws IOException {
-        return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-    }
-
-    private static void send(Socket socket, String line) throws IOException {
-        socket.getOutputStream().write((line + "\r\n").getBytes(StandardCharsets.US_ASCII));
-    }
-
-    private Socket connect() throws IOException {
-        Socket socket = new Socket(RelayLauncher.HOST, port);
-        socket.setTcpNoDelay(true);
-        return socket;
-    }
-
     /** Returns the OPEN line of a new client with a group of its own. */
     private String openLine() {
         String id = Integer.toHexString(nextId.incrementAndGet());
@@ -138,21 +84,30 @@
 
     /** One usual client; returns what went wrong, or "served". */
     private String beUsualClient() throws IOException {
+        String step = "connect";
+        long stepStartedAt = System.nanoTime();
         try (Socket socket = connect()) {
             socket.setSoTimeout(LINE_LIMIT_MILLIS);
             BufferedReader in = reader(socket);
+            step = "OPEN";
             send(socket, openLine());
             String answer = in.readLine();
-            for (int line = 0; line < LINES && answer != null && (line == 0 || answer.equals(USUAL_LINE)); line++) {
-                if (line == 0 && !answer.startsWith("UP")) {
-                    return answer;
-                }
+            if (answer == null || !answer.startsWith("UP")) {
+                return "answer to OPEN: " + answer;
+            }
+            for (int line = 1; line <= LINES; line++) {
+                step = "line " + line;
+                stepStartedAt = System.nanoTime();
                 send(socket, USUAL_LINE);
                 answer = in.readLine();
+                if (!USUAL_LINE.equals(answer)) {
+                    return "answer to " + step + ": " + answer;
+                }
             }
-            return USUAL_LINE.equals(answer) ? "served" : answer;
+            return "served";
         } catch (IOException e) {
-            return e.toString();
+            long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stepStartedAt);
+            return step + " after " + millis + " ms: " + e;
         }
     }
 
@@ -162,8 +117,10 @@
             results.add(threads.submit(this::beUsualClient));
             Thread.sleep(50);
         }
-        for (Future<String> result : results) {
-            assertThat(result.get()).as(Files.readString(dir.resolve("log"))).isEqualTo("served");
+        for (int client = 0; client < USUAL_CLIENTS; client++) {
+            assertThat(results.get(client).get())
+                    .as("client %d, log of the relay:%n%s", client, readLog())
+                    .isEqualTo("served");
         }
         assertThat(relay.isAlive()).isTrue();
     }
