--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -27,7 +27,8 @@
  * <ol>
  *   <li>Each association gets exactly one final answer.
  *   <li>No effect happens twice: a dispatch that may have run is only repeated where that is safe.
- *   <li>A draining backend gets no new dispatch after its grace period.
+ *   <li>A draining backend gets no new dispatch after its grace period. While a pushed roster is unconfirmed for longer
+ *       than that, any backend may drain, and dispatches wait ({@link RosterLease}).
  *   <li>A cold backend is not overloaded.
  * </ol>
  *
@@ -64,6 +65,11 @@
     private static final long PURGE_INTERVAL = TRACKING_ENTRY_LIFETIME / 4;
     /** Unless it is set, the time after a roster change within which the relay must know of it. */
     private static final double DEFAULT_ROSTER_CALL_DEADLINE = 16.0 * SECOND;
+    /**
+     * Time before an association's cut-off up to which it waits for the roster. A dispatch after that would hardly be
+     * answered in time, and a binding association could no longer be shed.
+     */
+    private static final long MIN_SET_UP_RESERVE = 50 * MILLISECOND;
     /** First wait of an association for an eligible backend; each further wait is twice as long. */
     private static final long MIN_WAIT = 50 * MILLISECOND;
     /** Number of times that an association's wait doubles. */
@@ -173,6 +179,8 @@
     private final int maxDispatches;
     /** Number of relays of the deployment, this one included. */
     private final int relayCount;
+    /** Share of a group's pairs that one relay can't see: near 0 with few relays, near 1 with a hundred. */
+    private final double unobservedShare;
     /** The settings allow several dispatches in flight. {@link #selectBackend} makes no further one even so. */
     private final boolean allowsConcurrentDispatches;
     /** Roster weights count; otherwise every backend weighs 1. */
@@ -183,8 +191,13 @@
     private final boolean isDelayUnobserved;
     /** A ready backend that the roster calls gone is only removed once set-ups fail there too. */
     private final boolean removalNeedsConfirmation;
-    /** Time for which a draining backend may get dispatches, from when this relay learned of the drain. */
-    private final long drainGracePeriod;
+    /**
+     * Time for which a draining backend may get dispatches, from when the drain counts as known to this relay: half of
+     * the grace period that the settings allow. The rest is a margin.
+     */
+    private final long dispatchGrace;
+    /** Tells whether the roster may be used for new dispatches; always, unless the host asks for confirmations. */
+    private final RosterLease rosterLease;
     /** Age at which a backend is warm. */
     private final long slowStartDuration;
     /** Time over which unused slow start budget accumulates. */
@@ -274,16 +287,19 @@
      */
     public Balancer(Map<String, String> settings, long seed, long now) {
         random = new SplittableRandom(seed);
+        long shortestCutOff = Long.MAX_VALUE;
         useCases = new UseCase[(int) Settings.getDouble(settings, "useCases.count")];
         for (int i = 0; i < useCases.length; i++) {
             useCases[i] = UseCase.fromSettings(settings, "useCases." + i + ".");
             longestCutOff = Math.max(longestCutOff, useCases[i].cutOff());
+            shortestCutOff = Math.min(shortestCutOff, useCases[i].cutOff());
         }
         maxDispatches = (int) Settings.getDouble(settings, "limits.dispatches");
         allowsConcurrentDispatches = Boolean.parseBoolean(settings.get("limits.secondCopies"));
         isDelayReported = "true".equals(settings.get("familyInfo.tellsDelay"));
         isDelayUnobserved = "unseen".equals(settings.get("familyInfo.tellsDelay"));
-        drainGracePeriod = (long) Settings.getDouble(settings, "rules.drainGrace");
+        dispatchGrace = (long) Settings.getDouble(settings, "rules.drainGrace") / 2;
+        rosterLease = new RosterLease(dispatchGrace, shortestCutOff - shortestCutOff / PACING_RESERVE_DIVISOR);
         removalNeedsConfirmation = Settings.getBoolean(settings, "rules.onlyDrainingBinds");
         slowStartInitialFactor = Settings.getDouble(settings, "rules.coldFrom");
         slowStartDuration = (long) Settings.getDouble(settings, "rules.cold");
@@ -299,6 +315,7 @@
         totalConnectionQuota = Arrays.stream(Settings.getDoubles(settings, "familyInfo.tenantQuotaConnections"))
                 .sum();
         relayCount = (int) Settings.getDouble(settings, "relays");
+        unobservedShare = (double) relayCount * relayCount / (relayCount * relayCount + PAIR_VISIBILITY_SCALE);
         observedSince = now;
         completedConnectionsUpdatedAt = now;
         nextPurgeAt = now + TRACKING_ENTRY_LIFETIME;
@@ -331,6 +348,10 @@
                 || !isSafeToRepeat(association, null, now)) {
             return shedOrForfeit(association, now);
         }
+        // Rule 3: any backend may have begun to drain since the roster was confirmed.
+        if (!rosterLease.isValid(now)) {
+            return awaitRoster(association, now);
+        }
         // Set-up pacing: waits for the next free set-up time, or gives up if that leaves less than a quarter of the use
         // case's cut-off time.
         if (setUpInterval > 0 && now < nextSetUpAt && association.reservedSetUpAt == 0 && !association.isMidFlow) {
@@ -391,7 +412,7 @@
                             && changeTracker.markRemoved(entry));
             nextPurgeAt = now + PURGE_INTERVAL;
         }
-        due.wakeAt = Math.min(nextPurgeAt, rosterCalls.nextCallAt());
+        due.wakeAt = Math.min(Math.min(nextPurgeAt, rosterCalls.nextCallAt()), rosterLease.validAgainAt(now));
         if (isDelayUnobserved && now < slowStartsEndAt + REBALANCE_AFTER_SLOW_START && isSampleTooSmall()) {
             if (now >= nextRebalanceAt) {
                 rebalance(due, now);
@@ -406,13 +427,17 @@
     @Override
     public void onRosterUpdate(List<RosterEntry> entries, boolean isComplete, boolean isCached, long now) {
         rosterCalls.onCallSucceeded();
+        long changesKnownSince = rosterLease.changesKnownSince(now);
+        if (!isCached) {
+            rosterLease.onConfirmed();
+        }
         currentMark++;
         staleRosterSince = isCached ? staleRosterSince : 0;
         boolean isTableChanged = false;
         for (RosterEntry entry : entries) {
             Backend backend = backendsById.computeIfAbsent(entry.backend(), Backend::new);
             backend.visitMark = currentMark;
-            isTableChanged |= applyRosterEntry(backend, entry, now);
+            isTableChanged |= applyRosterEntry(backend, entry, changesKnownSince, now);
         }
         if (isComplete) {
             for (Backend backend : lookupTable.members()) {
@@ -420,6 +445,7 @@
                     isTableChanged |= applyRosterEntry(
                             backend,
                             new RosterEntry(backend.id, Stage.GONE, 0, backend.cell, backend.weight, backend.zone, 0),
+                            changesKnownSince,
                             now);
                 }
             }
@@ -437,6 +463,26 @@
                 .toList());
     }
 
+    @Override
+    public void requireRosterConfirmation(long now) {
+        rosterLease.start(now);
+    }
+
+    @Override
+    public void onRosterConfirmed() {
+        rosterLease.onConfirmed();
+    }
+
+    @Override
+    public void onRosterInterrupted(RosterInterruption cause, long elapsed, long now) {
+        rosterLease.onInterrupted(cause, elapsed, now);
+    }
+
+    @Override
+    public boolean isRosterUsable(long now) {
+        return rosterLease.isValid(now);
+    }
+
     @Override
     public void onRosterCallFailed(long now) {
         logRateLimited("roster call failed, asking again", now);
@@ -740,7 +786,7 @@
         // group for a small one, and all relays together would put each group on a single backend. Some unseen pairs
         // are therefore assumed. They are not assumed while more than a third of the backends are slow or delay is
         // unobserved, because each further backend that holds a group adds cost.
-        double assumedShare = isDelayUnobserved || slowShare * MANY_SLOW_ONE_IN > 1 ? 0 : unobservedShare();
+        double assumedShare = isDelayUnobserved || slowShare * MANY_SLOW_ONE_IN > 1 ? 0 : unobservedShare;
         double allPairs =
                 totalConnections * (totalConnections + 1.0) / 2 + effectiveBackendCount * (PRIOR_PAIRS + assumedShare);
         // If connections are spread evenly over G groups, one in G pairs has the same key. The number of groups is
@@ -752,11 +798,6 @@
                 : effectiveBackendCount * groupConnections / totalConnections;
     }
 
-    /** Returns the share of a group's pairs that one relay can't see: near 0 with few relays, near 1 with a hundred. */
-    private double unobservedShare() {
-        return (double) relayCount * relayCount / (relayCount * relayCount + PAIR_VISIBILITY_SCALE);
-    }
-
     /** Starts the preference order of the association's key, or of its id if it has no key. */
     private void startPreferenceOrder(Association association) {
         lookupTable.startWalk(association.placementKey() != 0 ? association.placementKey() : association.id);
@@ -1017,6 +1058,7 @@
             applyRosterEntry(
                     backend,
                     new RosterEntry(backend.id, Stage.GONE, 0, backend.cell, backend.weight, backend.zone, 0),
+                    now,
                     now);
             rebuildLookupTable();
             recomputeTotals(now);
@@ -1095,8 +1137,8 @@
                 || !isSafeToRepeat(association, backend, now)) {
             return false;
         }
-        // Rule 3: no new dispatch after the grace period. The relay stops at half of it; the rest is a margin.
-        if (backend.stage != Stage.READY && now - backend.drainNoticedAt >= drainGracePeriod / 2) {
+        // Rule 3: no new dispatch after the grace period.
+        if (backend.stage != Stage.READY && now - backend.drainNoticedAt >= dispatchGrace) {
             return false;
         }
         // Rule 4: cold backends are not overloaded.
@@ -1105,7 +1147,7 @@
             if (backend.slowStartBudgetUpdatedAt < slowStartBeganAt(backend)) {
                 // A random initial budget. Relays that start together would otherwise all send their first dispatch at
                 // the same time.
-                double maxInitialBudget = staleRosterSince > 0 ? 1 : isSampleTooSmall() ? unobservedShare() : 0;
+                double maxInitialBudget = staleRosterSince > 0 ? 1 : isSampleTooSmall() ? unobservedShare : 0;
                 backend.slowStartBudget = maxInitialBudget > 0 ? random.nextDouble() * maxInitialBudget : 0;
                 backend.slowStartBudgetUpdatedAt = Math.max(slowStartBeganAt(backend), now - slowStartBudgetWindow);
             }
@@ -1121,7 +1163,7 @@
             // of the ready backends is below one half, the excess is smaller, in proportion to the square of that mean.
             // A mid-flow association may exceed the budget by one dispatch more, since its connection is probably open
             // there already.
-            double maxOverdraft = unobservedShare()
+            double maxOverdraft = unobservedShare
                     * Math.min(
                             1,
                             4
@@ -1198,6 +1240,14 @@
         return isLast ? association.cutOffAt - now : Math.min(association.cutOffAt - now, typicalTimeout);
     }
 
+    /** Lets the association wait for the roster for as long as a dispatch can still be answered; then gives it up. */
+    private Decision awaitRoster(Association association, long now) {
+        long latestDispatchAt = association.cutOffAt - Math.max(MIN_SET_UP_RESERVE, (long) typicalSetUpTime);
+        return now < latestDispatchAt
+                ? new Decision(Decision.Kind.AWAIT_ROSTER, 0, latestDispatchAt)
+                : shedOrForfeit(association, now);
+    }
+
     /** Waits with exponential backoff (50 ms to 1.6 s) if the wait ends before the goal time; otherwise gives up. */
     private Decision waitOrGiveUp(Association association, long now) {
         long retryAt = now + (MIN_WAIT << Math.min(association.waitCount++, MAX_WAIT_DOUBLINGS));
@@ -1276,8 +1326,12 @@
         }
     }
 
-    /** Applies one roster entry. Returns true if the lookup table must be rebuilt. */
-    private boolean applyRosterEntry(Backend backend, RosterEntry entry, long now) {
+    /**
+     * Applies one roster entry. Returns true if the lookup table must be rebuilt.
+     *
+     * @param knownSince time since when the entry counts as known, at most {@code now}
+     */
+    private boolean applyRosterEntry(Backend backend, RosterEntry entry, long knownSince, long now) {
         // A faulty roster may call running backends gone. If that alone counted, few or no backends would be left, so
         // removal may also need failed set-ups.
         boolean isRemoved = backend.stage == Stage.READY && entry.stage() == Stage.GONE;
@@ -1293,7 +1347,7 @@
         boolean isTableChanged =
                 backend.weight != weight || (backend.stage == Stage.GONE) != (entry.stage() == Stage.GONE);
         if (entry.stage() != Stage.READY && (backend.stage == Stage.READY || backend.drainNoticedAt == 0)) {
-            backend.drainNoticedAt = now;
+            backend.drainNoticedAt = knownSince;
             changeTracker.markChanged(backend);
         }
         if (entry.stage() == Stage.READY && entry.startedAt() != backend.startedAt) {
--- a/core/src/main/java/ambertrestle/decide/BalancingPolicy.java
+++ b/core/src/main/java/ambertrestle/decide/BalancingPolicy.java
@@ -52,6 +52,29 @@
     /** Reports that a call to service discovery failed or its watch broke; a later poll asks for another call. */
     void onRosterCallFailed(long now);
 
+    /**
+     * Asks for confirmations of the roster from now on: it may only be used for new dispatches while the roster service
+     * confirms it, or shortly after. For hosts on which a change counts as known before it is delivered. Hosts that
+     * don't call this need none of the following methods.
+     */
+    default void requireRosterConfirmation(long now) {}
+
+    /** Reports that the roster service has nothing to add to the roster; each roster update reports that as well. */
+    default void onRosterConfirmed() {}
+
+    /**
+     * Reports that the roster is no longer confirmed.
+     *
+     * @param elapsed nanoseconds since the last data arrived ({@code WATCH_SILENT}) or since the call was made
+     *     ({@code CALL_FAILED}); unused for the other causes
+     */
+    default void onRosterInterrupted(RosterInterruption cause, long elapsed, long now) {}
+
+    /** True if the roster may be used for new dispatches now. It may change with every report and with time. */
+    default boolean isRosterUsable(long now) {
+        return true;
+    }
+
     /** Registers a connection to {@code backend} that was already open when this relay started. */
     void onConnectionAdopted(Association association, long backend, long now);
 
--- a/core/src/main/java/ambertrestle/decide/Decision.java
+++ b/core/src/main/java/ambertrestle/decide/Decision.java
@@ -8,6 +8,10 @@
         SEND,
         /** Ask again at {@link #time}. */
         WAIT,
+        /**
+         * Ask again once the roster is usable ({@link BalancingPolicy#isRosterUsable}), at {@link #time} at the latest.
+         */
+        AWAIT_ROSTER,
         /** Reject the association; the client may safely repeat it. */
         SHED,
         /** Give up the association; a dispatch may have had an effect, so repeating it is not safe. */
@@ -25,8 +29,9 @@
     /** Id of the backend of a {@code SEND}; 0 otherwise. */
     public final long backend;
     /**
-     * Nanoseconds. {@code SEND}: the timeout of the dispatch, as a duration; {@code WAIT}: a point in time;
-     * {@code SHED}: how long the client has to wait before it repeats, 0 if no such time is sent to it; 0 otherwise.
+     * Nanoseconds. {@code SEND}: the timeout of the dispatch, as a duration; {@code WAIT} and {@code AWAIT_ROSTER}: a
+     * point in time; {@code SHED}: how long the client has to wait before it repeats, 0 if no such time is sent to it;
+     * 0 otherwise.
      */
     public final long time;
 
--- a/lab/src/main/java/ambertrestle/lab/simulation/SimulatedRelay.java
+++ b/lab/src/main/java/ambertrestle/lab/simulation/SimulatedRelay.java
@@ -1,5 +1,6 @@
 package ambertrestle.lab.simulation;
 
+import ambertrestle.decide.RosterInterruption;
 import ambertrestle.relay.connection.Effect;
 import ambertrestle.relay.connection.Event;
 import ambertrestle.relay.persistence.Recovery;
@@ -346,7 +347,7 @@
         void subscribe(long fromVersion) {
             testbed.scheduler.scheduleAfter(2 * simulatedTestbed.rosterLatency(number), () -> {
                 if (running && generation == watchGeneration && !testbed.rosterService.watch(this, fromVersion)) {
-                    reportFailure("not connected");
+                    reportFailure("not connected", RosterInterruption.CALL_FAILED);
                 }
             });
         }
@@ -361,13 +362,13 @@
 
         @Override
         public void onWatchEnded() {
-            reportFailure("cut off");
+            reportFailure("cut off", RosterInterruption.WATCH_ENDED);
         }
 
-        private void reportFailure(String reason) {
+        private void reportFailure(String reason, RosterInterruption cause) {
             scheduleDelivery(() -> {
                 watchGeneration++;
-                onNetworkEvent(new NetworkEvent.RosterWatchFailed(reason));
+                onNetworkEvent(new NetworkEvent.RosterWatchFailed(reason, cause, 0));
             });
         }
     }
--- a/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/Reducer.java
@@ -6,6 +6,7 @@
 import ambertrestle.decide.Decision;
 import ambertrestle.decide.DispatchOutcome;
 import ambertrestle.decide.DueActions;
+import ambertrestle.decide.RosterInterruption;
 import ambertrestle.relay.connection.Connection.State;
 import ambertrestle.relay.persistence.LogMessage;
 import ambertrestle.relay.persistence.Recovery.InitialState;
@@ -33,14 +34,15 @@
  *
  * <ol>
  *   <li>AWAITING_OPEN: the client's socket was accepted. The client has two seconds to send its OPEN line; a PING is
- *       answered once. Invalid lines are answered ERR. If sockets run short, the oldest connection in this state is
- *       rejected with BUSY.
+ *       answered once, and not before the relay may be given clients. Invalid lines are answered ERR. If sockets run
+ *       short, the oldest connection in this state is rejected with BUSY.
  *   <li>DISPATCHING: a valid OPEN line created an association and the balancing policy was asked for a backend. Its
  *       decision is a dispatch to a backend, a wait, or a final answer: BUSY if the association is shed, ERR if it is
- *       forfeited. A dispatch connects to the backend and writes the OPEN line. If the dispatch fails or times out, its
- *       outcome goes to the policy, which decides what follows. At most one dispatch is in flight. An OPEN line that
- *       names its current backend (`at`) is a resumption: the relay reconnects to that backend without asking the
- *       policy, and retries for 40 seconds. Lines that the client sends meanwhile are buffered.
+ *       forfeited. While the roster may not be used for dispatches, the association waits for the roster. A dispatch
+ *       connects to the backend and writes the OPEN line. If the dispatch fails or times out, its outcome goes to the
+ *       policy, which decides what follows. At most one dispatch is in flight. An OPEN line that names its current
+ *       backend (`at`) is a resumption: the relay reconnects to that backend without asking the policy, and retries for
+ *       40 seconds. Lines that the client sends meanwhile are buffered.
  *   <li>OPEN: the backend answered UP. UP and then the buffered lines are passed on, and from now on lines pass in both
  *       directions under linked flow control. The backend's LOAD lines and the time that it takes to answer lines go to
  *       the policy. A move (requested by the policy, because a line was unanswered for too long, or at shutdown) sends
@@ -96,6 +98,12 @@
      */
     private static final int LEARNED_STATE_PART_SIZE = 1024;
 
+    /**
+     * Limit on the associations that ask for a backend at a time after they waited for the roster. Hundreds of connects
+     * at once would hold up the event loop, and the first ones would time out.
+     */
+    private static final int MAX_DISPATCHES_AFTER_WAIT = 16;
+
     private static final byte[] PONG = encodeLine("PONG");
     private static final byte[] ERR = encodeLine("ERR");
     private static final byte[] BUSY = encodeLine("BUSY");
@@ -136,6 +144,10 @@
     private int maxSockets;
 
     private final ReconnectionTracker reconnections = new ReconnectionTracker();
+    private final RosterWaitList rosterWaits;
+    /** The roster service has confirmed the roster, and its watch hasn't ended since. */
+    private boolean isRosterConfirmed;
+
     private final InitialState initialState;
     /** Progress of the start until the roster service's list is confirmed; null if persistence is off. */
     private final StartupProgress startupProgress;
@@ -178,6 +190,11 @@
         balancer = policyFactory.create(configuration.settings(), configuration.seed(), now);
         latencies = new BackendLatencyTracker(configuration.messageGoalTime() / LATENCY_REPORT_DIVISOR);
         nextPeriodicRunAt = now + BackendLatencyTracker.REPORT_INTERVAL_NANOS;
+        rosterWaits = new RosterWaitList(!configuration.isRosterPushed(), now);
+        if (configuration.isRosterPushed()) {
+            // What the roster service has counts as known from the first moment of the process.
+            balancer.requireRosterConfirmation(now);
+        }
         balancer.onRosterUpdate(backendDirectory.update(initialState.roster()), true, true, now);
         if (isPersistenceEnabled) {
             balancer.restoreLearnedState(initialState.learnedState(), initialState.isRosterStale(), now);
@@ -216,12 +233,10 @@
                             event.message(), event.faultyEntries().keySet()),
                     now);
         } else if (networkEvent instanceof NetworkEvent.RosterWatchFailed event) {
-            log("roster-watch-broke", "roster watch failed: " + event.reason());
-            isWatchActive = false;
-            if (startupProgress != null) {
-                startupProgress.onWatchEnded();
-            }
-            balancer.onRosterCallFailed(now);
+            onRosterWatchFailed(event, now);
+        } else if (networkEvent instanceof NetworkEvent.RosterConfirmed) {
+            isRosterConfirmed = true;
+            balancer.onRosterConfirmed();
         } else if (networkEvent instanceof NetworkEvent.ClientMessageReceived event) {
             Connection connection = bySocket.get(event.socket());
             if (connection != null) {
@@ -280,11 +295,16 @@
         }
         timers.schedule(connection, now + OPEN_TIMEOUT_NANOS);
         if (awaitingOpen.size() > Math.max(MIN_AWAITING_OPEN_LIMIT, maxSockets / AWAITING_OPEN_DIVISOR)
-                || socketCount > maxSockets) {
+                || reservedSockets() > maxSockets) {
             rejectOldestAwaitingOpen(now);
         }
     }
 
+    /** Returns the number of sockets in use, and one for each association that waits for the roster. */
+    private int reservedSockets() {
+        return socketCount + rosterWaits.associationCount();
+    }
+
     /**
      * Rejects the oldest connection in state AWAITING_OPEN with BUSY; returns false if there is none. Without this,
      * clients that connect and send nothing would use up all file descriptors.
@@ -315,8 +335,11 @@
                     // Clients that stay connected after their PING would use up all file descriptors, so the timer is
                     // shortened.
                     connection.hasPinged = true;
-                    write(connection.clientSocket, PONG);
-                    timers.schedule(connection, Math.min(connection.timer.expiresAt(), now + PING_LINGER_NANOS));
+                    if (rosterWaits.isReady()) {
+                        answerPing(connection, now);
+                    } else {
+                        rosterWaits.addPing(connection);
+                    }
                 } else if (message instanceof ClientMessage.OpenRequest openRequest) {
                     onOpenRequest(connection, openRequest, now);
                 } else {
@@ -346,6 +369,12 @@
         }
     }
 
+    /** Tells a client in state AWAITING_OPEN that the relay may be given clients. */
+    private void answerPing(Connection connection, long now) {
+        write(connection.clientSocket, PONG);
+        timers.schedule(connection, Math.min(connection.timer.expiresAt(), now + PING_LINGER_NANOS));
+    }
+
     /** Rejects a client that sent a valid OPEN line but violated the protocol before it was answered. */
     private void onProtocolViolation(Connection connection, ProtocolViolation violation, long now) {
         abandonAssociation(connection, now);
@@ -391,19 +420,34 @@
         byAssociationId.put(openRequest.id(), connection);
         awaitingOpen.remove(connection.clientSocket);
         timers.cancel(connection);
+        if (rosterWaits.removePing(connection)) {
+            // The client did not wait for the answer. After this line others may follow it.
+            write(connection.clientSocket, PONG);
+        }
         if (openRequest.currentBackend() != null) {
             connection.isResumption = true;
             connection.resumedBackend = openRequest.currentBackend();
             connection.dispatchedAt = now;
             connection.backendId = BackendDirectory.backendId(openRequest.currentBackend());
             resume(connection, now);
-        } else if (socketCount + 1 > maxSockets && !rejectOldestAwaitingOpen(now)) {
-            // A dispatch beyond the limit on sockets would fail after the policy had counted it. Shedding is safe here,
-            // because nothing has run at a backend yet.
-            balancer.onClientDisconnected(association, now);
+        } else {
+            selectBackend(connection, now);
+        }
+    }
+
+    /**
+     * Asks the policy for a backend and executes its decision. If no socket is free, a client for which nothing has run
+     * yet gets BUSY.
+     */
+    private void selectBackend(Connection connection, long now) {
+        if (reservedSockets() + 1 > maxSockets
+                && connection.association.noDispatchRan()
+                && !rejectOldestAwaitingOpen(now)) {
+            // A dispatch beyond the limit on sockets would fail after the policy had counted it.
+            balancer.onClientDisconnected(connection.association, now);
             reject(connection, RejectionReason.NO_FREE_SOCKET, BUSY, now);
         } else {
-            execute(connection, balancer.selectBackend(association, now), now);
+            execute(connection, balancer.selectBackend(connection.association, now), now);
         }
     }
 
@@ -460,10 +504,12 @@
     // ---- Decisions of the balancing policy
 
     /**
-     * Executes a decision: SEND starts a dispatch, WAIT sets a timer to ask the policy again, SHED answers BUSY (with
-     * the milliseconds after which to retry, if the decision has a time), FORFEIT answers ERR, NOTHING does nothing.
+     * Executes a decision: SEND starts a dispatch, WAIT sets a timer to ask the policy again, AWAIT_ROSTER lets the
+     * association wait for the roster as well, SHED answers BUSY (with the milliseconds after which to retry, if the
+     * decision has a time), FORFEIT answers ERR, NOTHING does nothing.
      */
     private void execute(Connection connection, Decision decision, long now) {
+        boolean hasAwaitedRoster = rosterWaits.removeAssociation(connection);
         switch (decision.kind) {
             case SEND -> {
                 connection.backendId = decision.backend;
@@ -477,9 +523,13 @@
                 scheduleDispatchTimeout(connection, Math.min(decision.time, configuration.connectTimeout()), now);
             }
             case WAIT -> timers.schedule(connection, decision.time);
+            case AWAIT_ROSTER -> {
+                rosterWaits.addAssociation(connection, now);
+                timers.schedule(connection, decision.time);
+            }
             case SHED -> reject(
                     connection,
-                    RejectionReason.SHED,
+                    hasAwaitedRoster ? RejectionReason.NO_ROSTER : RejectionReason.SHED,
                     decision.time > 0 ? encodeLine("BUSY " + decision.time / NANOS_PER_MILLI) : BUSY,
                     now);
             case FORFEIT -> reject(connection, RejectionReason.FORFEITED, ERR, now);
@@ -519,11 +569,13 @@
     }
 
     /**
-     * Removes the connection from {@link #awaitingOpen}, {@link #byAssociation} and {@link #byAssociationId}; its
-     * sockets stay in {@link #bySocket}.
+     * Removes the connection from {@link #awaitingOpen}, {@link #byAssociation}, {@link #byAssociationId} and
+     * {@link #rosterWaits}; its sockets stay in {@link #bySocket}.
      */
     private void deregister(Connection connection) {
         awaitingOpen.remove(connection.clientSocket);
+        rosterWaits.removePing(connection);
+        rosterWaits.removeAssociation(connection);
         if (connection.association != null) {
             byAssociation.remove(connection.association);
             byAssociationId.remove(connection.association.id, connection);
@@ -807,6 +859,7 @@
                     "roster version went back from " + backendDirectory.rosterVersion + " to " + message.version()
                             + ", requesting the complete roster");
             backendDirectory.rosterVersion = -1;
+            interruptRoster(RosterInterruption.WATCH_ENDED, 0, now);
             watchRoster();
             return;
         }
@@ -820,9 +873,39 @@
                     : message;
             emitLogMessage(startupProgress.onRosterMessage(roster, now));
         }
+        isRosterConfirmed = true;
         balancer.onRosterUpdate(backendDirectory.update(roster), roster.isComplete(), false, now);
     }
 
+    private void onRosterWatchFailed(NetworkEvent.RosterWatchFailed event, long now) {
+        log("roster-watch-broke", "roster watch failed: " + event.reason());
+        isWatchActive = false;
+        if (startupProgress != null) {
+            startupProgress.onWatchEnded();
+        }
+        interruptRoster(event.cause(), event.elapsedNanos(), now);
+        balancer.onRosterCallFailed(now);
+    }
+
+    /** Tells the policy that the roster is no longer confirmed. */
+    private void interruptRoster(RosterInterruption cause, long elapsedNanos, long now) {
+        isRosterConfirmed = false;
+        balancer.onRosterInterrupted(cause, elapsedNanos, now);
+    }
+
+    /**
+     * Ends the wait for the roster, once it is usable: answers the clients that sent PING, then asks the policy again
+     * for the first associations that waited, oldest client first. Called again for the others.
+     */
+    private void endWaitForRoster(long now) {
+        String endText = rosterWaits.end(isRosterConfirmed, now);
+        if (endText != null) {
+            log("roster-usable", endText);
+        }
+        rosterWaits.takePings().forEach(connection -> answerPing(connection, now));
+        rosterWaits.takeAssociations(MAX_DISPATCHES_AFTER_WAIT).forEach(connection -> selectBackend(connection, now));
+    }
+
     /** Requests a roster watch from the current version on; it replaces the previous watch. */
     private void watchRoster() {
         hasWatched = true;
@@ -837,15 +920,19 @@
             log("roster-moved", "roster service address changed to " + reloaded.rosterAddress());
             rosterAddress = reloaded.rosterAddress();
             // The old roster service may send data that is older than the new one's, so its watch is replaced at once.
+            interruptRoster(RosterInterruption.SERVICE_CHANGED, 0, now);
             watchRoster();
         }
     }
 
     /**
-     * Runs after each event: handles expired timers, periodic checks and the due actions of the policy, continues the
-     * hand-over at shutdown, and schedules the next timer if its time changed.
+     * Runs after each event: ends the wait for the roster, handles expired timers, periodic checks and the due actions
+     * of the policy, continues the hand-over at shutdown, and schedules the next timer if its time changed.
      */
     private void processDueActions(long now) {
+        if (rosterWaits.isWaiting() && balancer.isRosterUsable(now)) {
+            endWaitForRoster(now);
+        }
         for (Connection connection = timers.pollExpired(now);
                 connection != null;
                 connection = timers.pollExpired(now)) {
@@ -874,8 +961,9 @@
             handOverConnections(now);
         }
         long startupWakeAt = startupProgress == null ? Long.MAX_VALUE : startupProgress.wakeAt();
+        boolean isWaitEnding = rosterWaits.isWaiting() && balancer.isRosterUsable(now);
         long wakeAt = Math.min(
-                startupWakeAt,
+                isWaitEnding ? now : startupWakeAt,
                 Math.min(
                         Math.min(dueActions.wakeAt, timers.nextExpiry()),
                         Math.min(nextPeriodicRunAt, shutdown.nextHandOverAt())));
@@ -937,7 +1025,7 @@
                             connection.isFirstLineQueued ? DispatchOutcome.TIMED_OUT : DispatchOutcome.NOT_CONNECTED,
                             now);
                 } else {
-                    execute(connection, balancer.selectBackend(connection.association, now), now);
+                    selectBackend(connection, now);
                 }
             }
         }
--- a/relay/src/main/java/ambertrestle/relay/connection/ReducerConfiguration.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/ReducerConfiguration.java
@@ -31,7 +31,7 @@
         boolean isPassThrough,
         Address rosterAddress) {
     /** Returns true if the roster service pushes changes, in which case the balancing policy never requests a watch. */
-    boolean isRosterPushed() {
+    public boolean isRosterPushed() {
         return "pushed".equals(settings.get("discovery"));
     }
 
--- a/relay/src/main/java/ambertrestle/relay/connection/RejectionReason.java
+++ b/relay/src/main/java/ambertrestle/relay/connection/RejectionReason.java
@@ -14,6 +14,8 @@
     NO_FREE_SOCKET("lack of free sockets"),
     /** The relay ends, and the client had no answer yet. */
     SHUTDOWN("the relay's shutdown"),
+    /** The association waited for the roster service until a dispatch could no longer be answered in time. */
+    NO_ROSTER("waiting in vain for the roster service"),
     /** The balancing policy shed the association. */
     SHED("shedding, because no backend may take them in time"),
     /** The balancing policy forfeited the association. */
--- a/relay/src/main/java/ambertrestle/relay/server/RelayServer.java
+++ b/relay/src/main/java/ambertrestle/relay/server/RelayServer.java
@@ -17,6 +17,7 @@
 import ambertrestle.relay.wire.SingleEventLoopTransport;
 import ambertrestle.relay.wire.SocketManager;
 import io.vertx.core.Context;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
@@ -43,6 +44,9 @@
      */
     private static final long STOP_DELAY_MILLIS = 200;
 
+    /** Longest time for which clients are refused because the first request for the roster is not sent yet. */
+    private static final long MAX_LISTEN_DELAY_MILLIS = 500;
+
     private static final int NANOS_PER_MILLI = 1_000_000;
 
     private final Vertx vertx;
@@ -163,6 +167,20 @@
     }
 
     private void start(RelayConfiguration configuration) {
+        handleEvent(new Event.TimerFired());
+        if (!configuration.reducerConfiguration().isRosterPushed()) {
+            listen(configuration);
+            return;
+        }
+        // The first request for the roster loads many classes. A client that could connect before would wait for that
+        // without the relay's knowledge, and might get its answer too late.
+        Promise<Void> mayListen = Promise.promise();
+        rosterWatcher.firstRequestSent().onComplete(sent -> mayListen.tryComplete());
+        vertx.setTimer(MAX_LISTEN_DELAY_MILLIS, t -> mayListen.tryComplete());
+        mayListen.future().onComplete(v -> listen(configuration));
+    }
+
+    private void listen(RelayConfiguration configuration) {
         socketManager
                 .listen(
                         configuration.listenAddress().host(),
@@ -172,7 +190,6 @@
                                 + configuration.listenAddress().port() + " cannot be listened on: " + e.getMessage()))
                 .onSuccess(v -> {
                     Log.log(Level.INFO, "serves", configuration.name() + " serves");
-                    handleEvent(new Event.TimerFired());
                     if (statePersister != null) {
                         statePersister.start();
                     }
--- a/relay/src/main/java/ambertrestle/relay/wire/NetworkEvent.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/NetworkEvent.java
@@ -1,5 +1,6 @@
 package ambertrestle.relay.wire;
 
+import ambertrestle.decide.RosterInterruption;
 import java.util.Map;
 
 /**
@@ -49,6 +50,15 @@
         }
     }
 
-    /** The watch on the roster service ended and must be requested again. */
-    record RosterWatchFailed(String reason) implements NetworkEvent {}
+    /** The first data of a watch is an empty line: the roster that the relay has is the current one. */
+    record RosterConfirmed() implements NetworkEvent {}
+
+    /**
+     * The watch on the roster service ended and must be requested again.
+     *
+     * @param reason text for the log
+     * @param elapsedNanos time since the last data arrived for a silent watch, since the call was made for a failed
+     *     call, otherwise 0
+     */
+    record RosterWatchFailed(String reason, RosterInterruption cause, long elapsedNanos) implements NetworkEvent {}
 }
--- a/relay/src/main/java/ambertrestle/relay/wire/RosterWatcher.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/RosterWatcher.java
@@ -1,5 +1,8 @@
 package ambertrestle.relay.wire;
 
+import ambertrestle.decide.RosterInterruption;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -21,14 +24,18 @@
      */
     private static final long IDLE_TIMEOUT_MILLIS = 3_200;
 
-    /** Time limit for the head of the response, counted from the request for a watch. */
+    /** Time limit for the head of the response, counted from the moment in which the request is sent. */
     private static final long RESPONSE_TIMEOUT_MILLIS = 3_000;
 
     private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+    /** Fails a watch whose connect neither succeeds nor fails. */
+    private static final long CONNECT_LIMIT_MILLIS = CONNECT_TIMEOUT_MILLIS + RESPONSE_TIMEOUT_MILLIS;
+
     private static final int MAX_HTTP_CHUNK_BYTES = 1 << 16;
 
     private static final String IDLE_TIMEOUT_REASON = "no data within " + IDLE_TIMEOUT_MILLIS + " ms";
     private static final String CONNECTION_LOST_REASON = "connection lost";
+    private static final String NO_RESPONSE_REASON = "no response within " + RESPONSE_TIMEOUT_MILLIS + " ms";
 
     private final Vertx vertx;
     private final HttpClient client;
@@ -38,16 +45,27 @@
 
     /** Vert.x id of the timer that fails the current watch; -1 if no timer was set yet. */
     private long timeoutTimer = -1;
+    /** When the current watch was requested or, later, its request was sent, as {@link System#nanoTime()}. */
+    private long requestedAt;
+    /** When data last arrived on the current watch, as {@link System#nanoTime()}. */
+    private long lastDataAt;
+    /** The current watch has delivered a message or an empty line. */
+    private boolean hasDelivered;
     /** Null until the connection for the current watch is up. */
     private HttpClientRequest currentRequest;
     /** Address of the current or last watch; null before the first. */
     private Address serviceAddress;
+    /** See {@link #firstRequestSent()}. */
+    private final Promise<Void> firstRequest = Promise.promise();
     /** See {@link #rosterConfirmedBy()}. */
     private Address rosterConfirmedBy;
     /** See {@link #rosterConfirmedAt()}. */
     private long rosterConfirmedAt;
 
-    /** The listener receives {@link NetworkEvent.RosterReceived} and {@link NetworkEvent.RosterWatchFailed}. */
+    /**
+     * The listener receives {@link NetworkEvent.RosterReceived}, {@link NetworkEvent.RosterConfirmed} and
+     * {@link NetworkEvent.RosterWatchFailed}.
+     */
     public RosterWatcher(Vertx vertx, Consumer<NetworkEvent> eventListener) {
         this.vertx = vertx;
         this.eventListener = eventListener;
@@ -64,65 +82,91 @@
     public void watch(Address address, long fromVersion) {
         cancelWatch();
         serviceAddress = address;
+        requestedAt = System.nanoTime();
+        hasDelivered = false;
         long watchId = currentWatchId;
-        restartTimeout(watchId, RESPONSE_TIMEOUT_MILLIS, "no response within " + RESPONSE_TIMEOUT_MILLIS + " ms");
+        restartTimeout(watchId, CONNECT_LIMIT_MILLIS, NO_RESPONSE_REASON, RosterInterruption.CALL_FAILED);
         String path = "/v1/endpoints?stream=1" + (fromVersion < 0 ? "" : "&index=" + fromVersion);
         client.request(new RequestOptions()
                         .setMethod(HttpMethod.GET)
                         .setHost(address.host())
                         .setPort(address.port())
                         .setURI(path))
-                .onFailure(e -> onWatchFailed(watchId, "not connected"))
+                .onFailure(e -> onWatchEnded(watchId, "not connected"))
                 .onSuccess(request -> {
                     if (watchId != currentWatchId) {
                         request.reset();
                         return;
                     }
                     currentRequest = request;
-                    request.exceptionHandler(e -> onWatchFailed(watchId, CONNECTION_LOST_REASON));
+                    // A relay that was busy until now has not waited for the service.
+                    requestedAt = System.nanoTime();
+                    restartTimeout(
+                            watchId, RESPONSE_TIMEOUT_MILLIS, NO_RESPONSE_REASON, RosterInterruption.CALL_FAILED);
+                    request.exceptionHandler(e -> onWatchEnded(watchId, CONNECTION_LOST_REASON));
                     request.send()
-                            .onFailure(e -> onWatchFailed(watchId, "no response: the request failed"))
+                            .onFailure(e -> onWatchEnded(watchId, "no response: the request failed"))
                             .onSuccess(response -> onResponse(watchId, response));
+                    firstRequest.tryComplete();
                 });
     }
 
+    /** Completes when the request for the first watch was sent, or has failed. */
+    public Future<Void> firstRequestSent() {
+        return firstRequest.future();
+    }
+
     private void onResponse(long watchId, HttpClientResponse response) {
         if (watchId != currentWatchId) {
             return;
         }
         if (response.statusCode() != 200) {
-            onWatchFailed(watchId, "expected HTTP status 200, got " + response.statusCode());
+            onWatchEnded(watchId, "expected HTTP status 200, got " + response.statusCode());
             return;
         }
-        restartTimeout(watchId, IDLE_TIMEOUT_MILLIS, IDLE_TIMEOUT_REASON);
+        restartTimeout(watchId, IDLE_TIMEOUT_MILLIS, IDLE_TIMEOUT_REASON, RosterInterruption.CALL_FAILED);
         RosterStreamParser parser = new RosterStreamParser(
                 event -> {
                     if (watchId == currentWatchId) {
+                        hasDelivered = true;
                         eventListener.accept(event);
                     }
                 },
-                reason -> onWatchFailed(watchId, reason));
+                reason -> onWatchEnded(watchId, reason));
         response.handler(chunk -> onChunk(watchId, parser, chunk))
-                .exceptionHandler(e -> onWatchFailed(watchId, CONNECTION_LOST_REASON))
-                .endHandler(v -> onWatchFailed(watchId, "the service ended the response"));
+                .exceptionHandler(e -> onWatchEnded(watchId, CONNECTION_LOST_REASON))
+                .endHandler(v -> onWatchEnded(watchId, "the service ended the response"));
     }
 
     /** Restarts the idle timeout, because any chunk shows that the service is alive. Malformed input ends the watch. */
     private void onChunk(long watchId, RosterStreamParser parser, Buffer chunk) {
+        if (watchId != currentWatchId) {
+            return;
+        }
+        lastDataAt = System.nanoTime();
+        parser.feed(chunk);
+        // A message may have ended this watch. Part of a message and malformed input don't confirm the roster: a
+        // persisted roster would appear to be newer than it is.
+        boolean isConfirmation = watchId == currentWatchId && parser.isAtMessageBoundary();
+        if (isConfirmation) {
+            confirmRoster();
+        }
         if (watchId == currentWatchId) {
-            restartTimeout(watchId, IDLE_TIMEOUT_MILLIS, IDLE_TIMEOUT_REASON);
-            parser.feed(chunk);
-            // Without this check, part of a message or malformed input would confirm the roster, and a persisted roster
-            // would appear to be newer than it is.
-            if (parser.isAtMessageBoundary()) {
-                confirmRoster();
-            }
+            restartTimeout(
+                    watchId,
+                    IDLE_TIMEOUT_MILLIS,
+                    IDLE_TIMEOUT_REASON,
+                    hasDelivered ? RosterInterruption.WATCH_SILENT : RosterInterruption.CALL_FAILED);
         }
     }
 
     private void confirmRoster() {
         rosterConfirmedBy = serviceAddress;
-        rosterConfirmedAt = System.nanoTime();
+        rosterConfirmedAt = lastDataAt;
+        if (!hasDelivered) {
+            hasDelivered = true;
+            eventListener.accept(new NetworkEvent.RosterConfirmed());
+        }
     }
 
     /**
@@ -142,15 +186,27 @@
      * Fails the watch after this time unless it is restarted. Without the timeout, the watch would stay open forever
      * after the service vanished, because a host that vanishes doesn't close its connections.
      */
-    private void restartTimeout(long watchId, long millis, String reason) {
+    private void restartTimeout(long watchId, long millis, String reason, RosterInterruption cause) {
         vertx.cancelTimer(timeoutTimer);
-        timeoutTimer = vertx.setTimer(millis, t -> onWatchFailed(watchId, reason));
+        timeoutTimer = vertx.setTimer(millis, t -> onWatchFailed(watchId, reason, cause));
+    }
+
+    /** The service ended the watch; before the first message or empty line, that is a failed call. */
+    private void onWatchEnded(long watchId, String reason) {
+        onWatchFailed(watchId, reason, hasDelivered ? RosterInterruption.WATCH_ENDED : RosterInterruption.CALL_FAILED);
     }
 
-    private void onWatchFailed(long watchId, String reason) {
+    private void onWatchFailed(long watchId, String reason, RosterInterruption cause) {
         if (watchId == currentWatchId) {
             cancelWatch();
-            eventListener.accept(new NetworkEvent.RosterWatchFailed(reason));
+            firstRequest.tryComplete();
+            long elapsedNanos =
+                    switch (cause) {
+                        case CALL_FAILED -> System.nanoTime() - requestedAt;
+                        case WATCH_SILENT -> System.nanoTime() - lastDataAt;
+                        default -> 0;
+                    };
+            eventListener.accept(new NetworkEvent.RosterWatchFailed(reason, cause, elapsedNanos));
         }
     }
 
--- a/relay/src/main/java/ambertrestle/simhost/Instance.java
+++ b/relay/src/main/java/ambertrestle/simhost/Instance.java
@@ -85,7 +85,9 @@
     private void execute(Association association, Decision decision, long now) {
         switch (decision.kind) {
             case SEND -> reply.addDispatch(number, association.id, decision.backend, decision.time / NANOS_PER_MICRO);
-            case WAIT -> delayedAssociations.add(new DelayedAssociation(decision.time, nextSequence++, association));
+                // The simulator's roster counts as known when it is delivered, so no decision awaits it.
+            case WAIT, AWAIT_ROSTER -> delayedAssociations.add(
+                    new DelayedAssociation(decision.time, nextSequence++, association));
             case SHED -> {
                 reply.addRecordWithLongAndInt(
                         WireFormat.PUSH_BACK, number, association.id, decision.time / NANOS_PER_MICRO);
--- a/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/connection/ReducerTest.java
@@ -2,86 +2,21 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import ambertrestle.decide.Balancer;
 import ambertrestle.decide.BalancerFixture;
 import ambertrestle.decide.LearnedState;
-import ambertrestle.decide.RosterEntry.Stage;
+import ambertrestle.decide.RosterInterruption;
 import ambertrestle.relay.persistence.Recovery;
 import ambertrestle.relay.wire.Address;
 import ambertrestle.relay.wire.BackendMessage;
 import ambertrestle.relay.wire.ClientMessage;
-import ambertrestle.relay.wire.ConfiguredNames;
-import ambertrestle.relay.wire.NetworkCommand;
 import ambertrestle.relay.wire.NetworkEvent;
-import ambertrestle.relay.wire.RosterMessage;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 
-/**
- * Applies events to a reducer and compares the effects with recorded traces, without sockets. Sockets 1, 2 ... belong
- * to clients, sockets -1, -2 ... to backends. In the traces "dial" is a connect to a backend, "finish" a shutdown of
- * the output, "keep" something to persist and "note" a log line.
- */
-class ReducerTest {
-    private static final ConfiguredNames NAMES = new ConfiguredNames(List.of("read", "mark", "pay"), List.of("x"));
-    private final BalancerFixture fixture = new BalancerFixture();
-    private boolean isPassThrough = true;
-    private int maxSockets = 100;
-    private Reducer reducer;
-
-    /**
-     * Builds a roster message from names such as "s-1" (READY) or "s-2=DRAINING"; a backend's address is its name and
-     * port 80.
-     */
-    private static RosterMessage roster(long version, boolean isComplete, String... names) {
-        List<RosterMessage.Entry> entries = new ArrayList<>();
-        for (String name : names) {
-            String[] parts = name.split("=");
-            entries.add(new RosterMessage.Entry(
-                    parts[0],
-                    parts[0] + ":80",
-                    parts.length < 2 ? Stage.READY : Stage.valueOf(parts[1]),
-                    "west",
-                    "m2",
-                    0,
-                    1,
-                    0));
-        }
-        return new RosterMessage(version, isComplete, entries);
-    }
-
-    private ReducerConfiguration configuration() {
-        fixture.settings.put("familyInfo.tellsDelay", "unseen");
-        return new ReducerConfiguration(
-                fixture.settings,
-                7,
-                List.of(
-                        2000 * BalancerFixture.MILLISECOND,
-                        2000 * BalancerFixture.MILLISECOND,
-                        2000 * BalancerFixture.MILLISECOND),
-                List.of("west"),
-                List.of("m2"),
-                100 * BalancerFixture.MILLISECOND,
-                maxSockets,
-                150 * BalancerFixture.MILLISECOND,
-                isPassThrough,
-                new Address("r", 1));
-    }
-
-    private void startReducer(String... names) {
-        reducer = new Reducer(configuration(), roster(3, true, names), fixture.now);
-        apply("start", new Event.TimerFired());
-    }
-
-    private void startReducerWithInitialState(Recovery.InitialState initialState) {
-        reducer = new Reducer(configuration(), initialState, true, Balancer::new, fixture.now);
-        apply("start", new Event.TimerFired());
-    }
-
+/** The life of connections and of the roster watch, as traces of the reducer's effects. */
+class ReducerTest extends ReducerFixture {
     /**
      * The persisted roster is an hour old: it lists a backend that is gone and one that drains, and the roster service
      * is down for two seconds. The relay must serve meanwhile and correct its roster from the first answer.
@@ -102,7 +37,9 @@
                 true,
                 learnedState,
                 List.of()));
-        applyNetworkEvent("roster service refuses", new NetworkEvent.RosterWatchFailed("not connected"));
+        applyNetworkEvent(
+                "roster service refuses",
+                new NetworkEvent.RosterWatchFailed("not connected", RosterInterruption.CALL_FAILED, 0));
         fixture.atMillis(300);
         acceptAndOpen(1, "c=pay,d=2000,g=a1");
         applyNetworkEvent("no connection", new NetworkEvent.SocketClosed(-1, true));
@@ -117,109 +54,6 @@
         fixture.assertTraceMatches("oldlist");
     }
 
-    /** Applies an event and appends the label and the effects to the trace. */
-    private void apply(String label, Event event) {
-        fixture.appendToTrace(label);
-        for (Effect effect : reducer.apply(event, fixture.now)) {
-            String text = describe(effect);
-            if (!text.isEmpty()) {
-                fixture.trace.append("             ").append(text).append(System.lineSeparator());
-            }
-        }
-    }
-
-    /** Returns an effect's line in the trace; empty for effects that traces leave out. */
-    private static String describe(Effect effect) {
-        if (effect instanceof Effect.ExecuteCommand execution) {
-            return describe(execution.command());
-        }
-        if (effect instanceof Effect.PersistLearnedState persist) {
-            return "keep " + persist.part().backends().size() + " judged, "
-                    + persist.part().pins().size() + " pins";
-        }
-        if (effect instanceof Effect.PersistRoster persist) {
-            return "keep roster " + persist.message().version();
-        }
-        if (effect instanceof Effect.WriteLog logged) {
-            return "note " + logged.text();
-        }
-        return effect instanceof Effect.Stop ? "stop" : "";
-    }
-
-    private static String describe(NetworkCommand command) {
-        if (command instanceof NetworkCommand.Connect connect) {
-            return "dial " + connect.socket() + " " + connect.address() + " " + decodeLine(connect.firstLine());
-        }
-        if (command instanceof NetworkCommand.Write write) {
-            return "write " + write.socket() + " " + decodeLine(write.line());
-        }
-        if (command instanceof NetworkCommand.Close close) {
-            return "close " + close.socket();
-        }
-        if (command instanceof NetworkCommand.Reset reset) {
-            return "reset " + reset.socket();
-        }
-        if (command instanceof NetworkCommand.ShutdownOutput shutdown) {
-            return "finish " + shutdown.socket();
-        }
-        if (command instanceof NetworkCommand.WatchRoster watch) {
-            return "watch " + watch.address() + " from " + watch.fromVersion();
-        }
-        return "";
-    }
-
-    private static String decodeLine(byte[] line) {
-        return new String(line, StandardCharsets.UTF_8).replace("\r\n", "");
-    }
-
-    private static byte[] encodeLine(String line) {
-        return (line + "\r\n").getBytes(StandardCharsets.UTF_8);
-    }
-
-    private void applyNetworkEvent(String label, NetworkEvent networkEvent) {
-        apply(label, new Event.NetworkEventReceived(networkEvent));
-    }
-
-    private void receiveFromClient(long socket, String line) {
-        applyNetworkEvent(
-                "client " + socket + ": " + line,
-                new NetworkEvent.ClientMessageReceived(socket, ClientMessage.decode(encodeLine(line), NAMES)));
-    }
-
-    private void receiveFromBackend(long socket, String line) {
-        applyNetworkEvent(
-                "backend " + socket + ": " + line,
-                new NetworkEvent.BackendMessageReceived(socket, BackendMessage.decode(encodeLine(line))));
-    }
-
-    /** Accepts a client and sends its OPEN line; the id is the socket's number with an f appended. */
-    private void acceptAndOpen(long socket, String parameters) {
-        reducer.apply(new Event.NetworkEventReceived(new NetworkEvent.ClientAccepted(socket)), fixture.now);
-        receiveFromClient(socket, "OPEN " + socket + "f 0 t=x," + parameters);
-    }
-
-    /** Reports that the socket is connected and that its first line was written, without a line in the trace. */
-    private void connectAndWriteFirstLine(long socket) {
-        reducer.apply(new Event.NetworkEventReceived(new NetworkEvent.BackendConnected(socket)), fixture.now);
-        reducer.apply(new Event.NetworkEventReceived(new NetworkEvent.FirstLineWritten(socket)), fixture.now);
-    }
-
-    /** Lets the backend accept the dispatch. */
-    private void answerUp(long socket) {
-        connectAndWriteFirstLine(socket);
-        receiveFromBackend(socket, "UP r" + -socket);
-    }
-
-    private void closeSocket(long socket, boolean isReset) {
-        applyNetworkEvent(
-                "socket " + socket + (isReset ? " broke" : " closed"), new NetworkEvent.SocketClosed(socket, isReset));
-    }
-
-    private void fireTimerAt(long millis) {
-        fixture.atMillis(millis);
-        apply("time", new Event.TimerFired());
-    }
-
     /**
      * One connection from PING and OPEN to the close of both sockets. Lines must be forwarded in order, the one that
      * the client sent too early included, and a backend that ends its output must not cut off the client.
@@ -519,7 +353,8 @@
         applyNetworkEvent("roster 4", new NetworkEvent.RosterReceived(roster(4, false, "s-2")));
         applyNetworkEvent("roster 2", new NetworkEvent.RosterReceived(roster(2, false, "s-1=GONE")));
         applyNetworkEvent("roster 2, whole", new NetworkEvent.RosterReceived(roster(2, true, "s-2")));
-        applyNetworkEvent("watch broke", new NetworkEvent.RosterWatchFailed("silent"));
+        applyNetworkEvent(
+                "watch broke", new NetworkEvent.RosterWatchFailed("silent", RosterInterruption.WATCH_SILENT, 0));
         fireTimerAt(500);
         fixture.assertTraceMatches("watch");
     }
@@ -533,12 +368,14 @@
         startReducer("s-1");
         acceptAndOpen(1, "c=read,d=2000");
         answerUp(-1);
-        applyNetworkEvent("watch broke", new NetworkEvent.RosterWatchFailed("cut off"));
+        applyNetworkEvent(
+                "watch broke", new NetworkEvent.RosterWatchFailed("cut off", RosterInterruption.WATCH_ENDED, 0));
         apply("read again", new Event.ConfigurationReloaded(new Address("q", 2), 100));
         fireTimerAt(500);
         apply("read again, unchanged", new Event.ConfigurationReloaded(new Address("q", 2), 100));
         applyNetworkEvent("roster 4", new NetworkEvent.RosterReceived(roster(4, false, "s-2")));
-        applyNetworkEvent("watch broke", new NetworkEvent.RosterWatchFailed("ended"));
+        applyNetworkEvent(
+                "watch broke", new NetworkEvent.RosterWatchFailed("ended", RosterInterruption.WATCH_ENDED, 0));
         fireTimerAt(1000);
         receiveFromClient(1, "M 1");
         fixture.assertTraceMatches("reread");
--- a/relay/src/test/java/ambertrestle/relay/wire/SocketManagerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/wire/SocketManagerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import ambertrestle.decide.RosterInterruption;
 import com.sun.management.UnixOperatingSystemMXBean;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
@@ -404,8 +405,12 @@
                 connection
                         .getOutputStream()
                         .write(bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"));
-                assertThat(events.poll(4, TimeUnit.SECONDS))
-                        .isEqualTo(new NetworkEvent.RosterWatchFailed("no data within 3200 ms"));
+                assertThat(pollEvent()).isInstanceOf(NetworkEvent.RosterConfirmed.class);
+                NetworkEvent.RosterWatchFailed failed =
+                        (NetworkEvent.RosterWatchFailed) events.poll(4, TimeUnit.SECONDS);
+                assertThat(failed.reason()).isEqualTo("no data within 3200 ms");
+                assertThat(failed.cause()).isEqualTo(RosterInterruption.WATCH_SILENT);
+                assertThat(failed.elapsedNanos()).isGreaterThanOrEqualTo(TimeUnit.MILLISECONDS.toNanos(3_200));
             }
         }
     }
@@ -435,7 +440,9 @@
                 assertThat(((NetworkEvent.RosterReceived) pollEvent()).message().isComplete())
                         .isFalse();
             }
-            assertThat(pollEvent()).isInstanceOf(NetworkEvent.RosterWatchFailed.class);
+            assertThat(pollEvent())
+                    .isInstanceOfSatisfying(NetworkEvent.RosterWatchFailed.class, failed -> assertThat(failed.cause())
+                            .isEqualTo(RosterInterruption.WATCH_ENDED));
         }
     }
 }
