Do not take a roster service that sends garbage for one that is down

Need: a call that fails before the first message renewed the lease of a pushed roster, since a service that is down has told nothing. But one that accepts the call and then sends no roster message, or ends it, is running and may have told a drain.

Tests: SocketManagerTest.failedWatchTellsWhetherTheServiceAcceptedTheCall; the second case was CALL_FAILED before.

--- a/core/src/main/java/ambertrestle/decide/RosterInterruption.java
+++ b/core/src/main/java/ambertrestle/decide/RosterInterruption.java
@@ -8,6 +8,9 @@
     WATCH_SILENT,
     /** The address of the roster service changed. */
     SERVICE_CHANGED,
-    /** A call failed before the service sent anything on its watch. */
+    /**
+     * The service could not be reached, refused the call, or left it without an answer. A service that accepts a call
+     * and then sends no roster message is running; its end of the watch is {@link #WATCH_ENDED}.
+     */
     CALL_FAILED
 }
--- a/relay/src/main/java/ambertrestle/relay/wire/RosterWatcher.java
+++ b/relay/src/main/java/ambertrestle/relay/wire/RosterWatcher.java
@@ -49,6 +49,8 @@
     private long requestedAt;
     /** When data last arrived on the current watch, as {@link System#nanoTime()}. */
     private long lastDataAt;
+    /** The service has accepted the request for the current watch. */
+    private boolean isAccepted;
     /** The current watch has delivered a message or an empty line. */
     private boolean hasDelivered;
     /** Null until the connection for the current watch is up. */
@@ -83,6 +85,7 @@
         cancelWatch();
         serviceAddress = address;
         requestedAt = System.nanoTime();
+        isAccepted = false;
         hasDelivered = false;
         long watchId = currentWatchId;
         restartTimeout(watchId, CONNECT_LIMIT_MILLIS, NO_RESPONSE_REASON, RosterInterruption.CALL_FAILED);
@@ -124,6 +127,7 @@
             onWatchEnded(watchId, "expected HTTP status 200, got " + response.statusCode());
             return;
         }
+        isAccepted = true;
         restartTimeout(watchId, IDLE_TIMEOUT_MILLIS, IDLE_TIMEOUT_REASON, RosterInterruption.CALL_FAILED);
         RosterStreamParser parser = new RosterStreamParser(
                 event -> {
@@ -191,9 +195,9 @@
         timeoutTimer = vertx.setTimer(millis, t -> onWatchFailed(watchId, reason, cause));
     }
 
-    /** The service ended the watch; before the first message or empty line, that is a failed call. */
+    /** The service ended the watch, or sent no roster message; before it accepted the request, the call failed. */
     private void onWatchEnded(long watchId, String reason) {
-        onWatchFailed(watchId, reason, hasDelivered ? RosterInterruption.WATCH_ENDED : RosterInterruption.CALL_FAILED);
+        onWatchFailed(watchId, reason, isAccepted ? RosterInterruption.WATCH_ENDED : RosterInterruption.CALL_FAILED);
     }
 
     private void onWatchFailed(long watchId, String reason, RosterInterruption cause) {
--- a/relay/src/test/java/ambertrestle/relay/wire/SocketManagerTest.java
+++ b/relay/src/test/java/ambertrestle/relay/wire/SocketManagerTest.java
@@ -415,6 +415,31 @@
         }
     }
 
+    /**
+     * A service that refuses a call is down and has told nothing. One that accepts it and sends garbage is running and
+     * may have told a drain, which an old roster doesn't show.
+     */
+    @Test
+    void failedWatchTellsWhetherTheServiceAcceptedTheCall() throws Exception {
+        assertThat(watchAnsweredBy("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"))
+                .isEqualTo(RosterInterruption.CALL_FAILED);
+        assertThat(watchAnsweredBy("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n}}}\r\n"))
+                .isEqualTo(RosterInterruption.WATCH_ENDED);
+        assertThat(watchAnsweredBy("")).isEqualTo(RosterInterruption.CALL_FAILED);
+    }
+
+    /** Answers a watch with these bytes and the end of the connection; returns the cause of its failure. */
+    private RosterInterruption watchAnsweredBy(String response) throws Exception {
+        try (ServerSocket service = new ServerSocket(0, 5, loopback)) {
+            RosterWatcher watcher = new RosterWatcher(vertx, events::add);
+            vertx.runOnContext(v -> watcher.watch(new Address("127.0.0.1", service.getLocalPort()), 41));
+            try (Socket connection = service.accept()) {
+                connection.getOutputStream().write(bytes(response));
+            }
+            return ((NetworkEvent.RosterWatchFailed) pollEvent()).cause();
+        }
+    }
+
     /** HTTP chunks may split a message anywhere; the end of the response must end the watch. */
     @Test
     void watchDecodesFragmentedMessagesAndReportsEnd() throws Exception {
