--- a/relay/src/test/java/ambertrestle/relay/connection/RosterWaitTest.java
+++ b/relay/src/test/java/ambertrestle/relay/connection/RosterWaitTest.java
@@ -35,6 +35,29 @@
         fixture.assertTraceMatches("await-roster");
     }
 
+    /** A client that opens a connection right behind its PING gets both answers in order. */
+    @Test
+    void pingIsAnsweredBeforeTheOpenLineThatFollowsIt() {
+        startUnconfirmedReducer("s-1");
+        reducer.apply(new Event.NetworkEventReceived(new NetworkEvent.ClientAccepted(1)), fixture.now);
+        receiveFromClient(1, "PING");
+        receiveFromClient(1, "OPEN 1f 0 t=x,c=read,d=2000");
+        receiveRoster("roster 4");
+        answerUp(-1);
+        assertThat(fixture.trace.toString()).containsSubsequence("write 1 PONG", "dial -1", "write 1 UP");
+        assertThat(fixture.trace.toString().split("PONG", -1)).hasSize(2);
+    }
+
+    /** Guards against work done for clients that left while they waited for the roster. */
+    @Test
+    void clientThatLeavesWhileItWaitsIsNotDispatched() {
+        startUnconfirmedReducer("s-1");
+        acceptAndOpen(1, "c=read,d=2000");
+        closeSocket(1, true);
+        receiveRoster("roster 4");
+        assertThat(fixture.trace.toString()).doesNotContain("dial");
+    }
+
     /** Guards against clients that get nothing because the roster service is down: it has nothing to tell. */
     @Test
     void refusedCallLetsTheRelayServeAtOnce() throws Exception {
