Call the roster service within 5 s after any number of failures

Cause: from the second failure on the call came after half of the range plus a random part of all of it. Each was bounded, the sum was not: 7.2 s with 6 relays, 12 s with 40 and more, where FLEET allows 6 s from when the service can be reached. After SIGHUP to another address the backoff of the service before went on.

Change: a later call comes after 5 s at most and after half of that at least; one second is for the call itself. SIGHUP to another address starts the backoff anew.

The trace `roster` (40 relays) has shorter waits; its assertions are as before.

--- a/core/src/main/java/ambertrestle/decide/Balancer.java
+++ b/core/src/main/java/ambertrestle/decide/Balancer.java
@@ -475,6 +475,9 @@
 
     @Override
     public void onRosterInterrupted(RosterInterruption cause, long elapsed, long now) {
+        if (cause == RosterInterruption.SERVICE_CHANGED) {
+            rosterCalls.onServiceChanged();
+        }
         rosterLease.onInterrupted(cause, elapsed, now);
     }
 
--- a/core/src/main/java/ambertrestle/decide/RosterCallSchedule.java
+++ b/core/src/main/java/ambertrestle/decide/RosterCallSchedule.java
@@ -24,6 +24,12 @@
      */
     private static final long MAX_FIRST_RETRY_DELAY = 2_300 * MILLISECOND;
 
+    /**
+     * Longest delay of a later call after a failure. A change counts as known 6 s after the service had it and could be
+     * reached; the rest is for the call itself.
+     */
+    private static final long MAX_RETRY_DELAY = 5 * SECOND;
+
     private final int relayCount;
     /** Longest time over which this relay spreads its calls. */
     private final long maxRange;
@@ -53,10 +59,13 @@
         long range = range(Math.min(failures, MAX_DOUBLINGS));
         // The first retry comes early. After a watch has fallen silent, the relay would otherwise learn of the changes
         // that it missed only after the deadline for knowing them.
-        nextCallAt = now
-                + (failures++ == 0
-                        ? random.nextLong(Math.min(range, MAX_FIRST_RETRY_DELAY))
-                        : range / 2 + random.nextLong(range));
+        if (failures++ == 0) {
+            nextCallAt = now + random.nextLong(Math.min(range, MAX_FIRST_RETRY_DELAY));
+        } else {
+            long earliest = Math.min(range, MAX_RETRY_DELAY) / 2;
+            long latest = Math.min(range / 2 + range, MAX_RETRY_DELAY);
+            nextCallAt = now + earliest + random.nextLong(latest - earliest);
+        }
     }
 
     /** Resets the backoff: the service has answered. */
@@ -64,6 +73,11 @@
         failures = 0;
     }
 
+    /** Resets the backoff: the failures before say nothing of the service at the new address. */
+    void onServiceChanged() {
+        failures = 0;
+    }
+
     /** Returns when the next call is due; {@code Long.MAX_VALUE} if none is. */
     long nextCallAt() {
         return nextCallAt;
